Lay out the workspace, the traffic document and the versioned store

Cause: an empty repository. Change: six packages (one-way imports), the document with its checks and segments, and the conditional-update store of versioned documents. Nothing measured yet; tests follow with the thin path.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+# Every command a newcomer needs; each sets up .venv by itself on first use.
+PYTHON ?= python3
+BIN := .venv/bin
+DEPLOYMENT ?= cerimonia
+PACKAGES := coordination model http standins entry operator
+
+.PHONY: run test lint format bench measure capacity
+
+run: .venv/installed
+	$(BIN)/plantainshed demo --deployment=$(DEPLOYMENT)
+
+test: .venv/installed
+	$(BIN)/python -m nose2 -s tests -t . --log-level ERROR
+
+lint: .venv/installed
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+format: .venv/installed
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+.venv/installed: requirements.txt $(PACKAGES:%=packages/%/pyproject.toml)
+	test -x $(BIN)/python || $(PYTHON) -m venv .venv
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check -r requirements.txt
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-build-isolation --no-deps $(PACKAGES:%=-e packages/%)
+	touch $@
--- /dev/null
+++ b/packages/coordination/plantainshed_coordination/versioned.py
@@ -0,0 +1,267 @@
+"""A versioned document in the platform's object store.
+
+The document's text is cut into named segments. A segment is immutable and
+stored under the digest of its bytes. A revision names the digests of all
+segments, its parent, and who changed what and why. One root object names the
+newest revision; swinging the root by a conditional write is what makes a
+change take effect, whole or not at all.
+"""
+
+import json
+from typing import Protocol
+
+import trio
+from attrs import asdict, field, frozen
+
+from .digests import content_digest
+from .errors import (
+    CommitUnconfirmed,
+    DocumentError,
+    ObjectMissing,
+    OutcomeUnknown,
+    PlatformError,
+    PlatformUnavailable,
+    SegmentMissing,
+    StaleBase,
+    VersionConflict,
+)
+from .platform import ABSENT, Platform
+
+ROOT_KIND = "document-root"
+REVISION_KIND = "document-revision"
+SEGMENT_KIND = "document-segment"
+RECENT_CHANGES = 64
+COMMIT_ATTEMPTS = 6
+RETRY_DELAY_S = 0.25
+EMPTY_VERSION = 0
+
+
+@frozen
+class Revision:
+    """One version of the document.
+
+    Parameters
+    ----------
+    version : int
+        1 for the first; each change adds one.
+    change_id : str
+        Made by whoever asked for the change; recognises it after a lost answer.
+    parent_change_id : str
+        Change that this one follows, empty for the first.
+    segments : dict of str to str
+        Digest of each segment, by the segment's name.
+    author, reason : str
+        Who changed it, and why.
+    changed_at : str
+        Date and time in ISO 8601, UTC.
+    """
+
+    version: int
+    change_id: str
+    parent_change_id: str
+    segments: dict[str, str]
+    author: str
+    reason: str
+    changed_at: str
+
+    def to_bytes(self) -> bytes:
+        """Return the revision as JSON."""
+        return json.dumps(asdict(self), sort_keys=True).encode()
+
+    @classmethod
+    def from_bytes(cls, data: bytes) -> "Revision":
+        """Read a revision from its JSON, or raise `DocumentError`."""
+        try:
+            return cls(**json.loads(data))
+        except (ValueError, TypeError) as error:
+            raise DocumentError(f"not a revision: {error}") from error
+
+
+EMPTY_REVISION = Revision(EMPTY_VERSION, "", "", {}, "", "", "")
+
+
+@frozen
+class Root:
+    """The root object: the newest revision and the changes just before it."""
+
+    revision: Revision
+    recent_change_ids: list[str] = field(factory=list)
+    object_version: int = ABSENT
+
+    def to_bytes(self) -> bytes:
+        """Return what is stored of the root."""
+        return json.dumps(
+            {
+                "revision": asdict(self.revision),
+                "recent_change_ids": self.recent_change_ids,
+            },
+            sort_keys=True,
+        ).encode()
+
+
+@frozen
+class Change:
+    """A change that somebody asks for.
+
+    Parameters
+    ----------
+    base_version : int
+        Version that the author saw; the change is refused if it is not the
+        newest any more.
+    segments : dict of str to bytes
+        The whole new text, by segment name.
+    change_id, author, reason, changed_at : str
+        As in `Revision`.
+    """
+
+    base_version: int
+    segments: dict[str, bytes]
+    change_id: str
+    author: str
+    reason: str
+    changed_at: str
+
+
+class SegmentSource(Protocol):
+    """Where segments can be had: the store, or a peer."""
+
+    async def segment(self, digest: str) -> bytes:
+        """Return the segment's bytes, or raise `SegmentMissing`."""
+
+
+class DocumentStore:
+    """Reads and changes the document in the platform's store."""
+
+    def __init__(self, platform: Platform):
+        self.platform = platform
+
+    async def root(self) -> Root:
+        """Return the root as stored now, an empty one if there is none yet."""
+        try:
+            stored = await self.platform.get(ROOT_KIND, ROOT_KIND)
+        except ObjectMissing:
+            return Root(EMPTY_REVISION)
+        return root_from_stored(stored)
+
+    async def wait_for_newer(self, known: Root) -> Root:
+        """Return the root as soon as it is not the known one any more."""
+        return root_from_stored(
+            await self.platform.wait_for_change(
+                ROOT_KIND, ROOT_KIND, known.object_version
+            )
+        )
+
+    async def segment(self, digest: str) -> bytes:
+        """Return a segment by its digest, or raise `SegmentMissing`."""
+        try:
+            stored = await self.platform.get(SEGMENT_KIND, digest)
+        except PlatformError as error:
+            raise SegmentMissing(f"segment {digest}: {error}") from error
+        return stored.value
+
+    async def segments(self, revision: Revision) -> dict[str, bytes]:
+        """Return all segments of a revision by name."""
+        return {
+            name: await self.segment(digest)
+            for name, digest in revision.segments.items()
+        }
+
+    async def history(self, limit: int) -> list[Revision]:
+        """Return the newest revisions, newest first, at most `limit`."""
+        revision = (await self.root()).revision
+        revisions = []
+        while revision.version and len(revisions) < limit:
+            revisions.append(revision)
+            if not revision.parent_change_id:
+                break
+            revision = await self.revision(revision.parent_change_id)
+        return revisions
+
+    async def revision(self, change_id: str) -> Revision:
+        """Return the revision that a change made."""
+        stored = await self.platform.get(REVISION_KIND, change_id)
+        return Revision.from_bytes(stored.value)
+
+    async def commit(self, change: Change) -> Revision:
+        """Make a change take effect, once, whole or not at all.
+
+        Raises
+        ------
+        StaleBase
+            If the document was changed since `change.base_version`.
+        CommitUnconfirmed
+            If the store never said what became of the last write. The same
+            change, with the same id, can safely be tried again.
+        """
+        digests = {n: content_digest(text) for n, text in change.segments.items()}
+        failure = None
+        for attempt in range(COMMIT_ATTEMPTS):
+            if attempt:
+                await trio.sleep(RETRY_DELAY_S * attempt)
+            try:
+                return await self._commit_once(change, digests)
+            except (OutcomeUnknown, PlatformUnavailable, VersionConflict) as error:
+                # A lost answer shows as a change that seems to have failed,
+                # and a blind second try as a change applied twice. The next
+                # attempt reads the root first and finds its own change id.
+                failure = error
+        raise CommitUnconfirmed(
+            f"the store did not confirm change {change.change_id}: {failure}"
+        ) from failure
+
+    async def _commit_once(self, change: Change, digests: dict[str, str]) -> Revision:
+        root = await self.root()
+        if change.change_id in root.recent_change_ids:
+            return await self.revision(change.change_id)
+        if root.revision.version != change.base_version:
+            raise StaleBase(change.base_version, root.revision.version)
+        await self._store_new_segments(change, digests, root.revision)
+        revision = Revision(
+            version=change.base_version + 1,
+            change_id=change.change_id,
+            parent_change_id=root.revision.change_id,
+            segments=digests,
+            author=change.author,
+            reason=change.reason,
+            changed_at=change.changed_at,
+        )
+        await self._create(REVISION_KIND, change.change_id, revision.to_bytes())
+        recent = [*root.recent_change_ids, change.change_id][-RECENT_CHANGES:]
+        await self.platform.put(
+            ROOT_KIND,
+            ROOT_KIND,
+            Root(revision, recent).to_bytes(),
+            root.object_version,
+        )
+        return revision
+
+    async def _store_new_segments(
+        self, change: Change, digests: dict[str, str], parent: Revision
+    ):
+        kept = set(parent.segments.values())
+        for name, text in change.segments.items():
+            if digests[name] not in kept:
+                await self._create(SEGMENT_KIND, digests[name], text)
+
+    async def _create(self, kind: str, name: str, value: bytes):
+        # Content is immutable under its name: finding it there already means
+        # that an earlier attempt wrote it and the answer was lost.
+        try:
+            await self.platform.put(kind, name, value, ABSENT)
+        except VersionConflict:
+            stored = await self.platform.get(kind, name)
+            if stored.value != value:
+                await self.platform.put(kind, name, value, stored.version)
+
+
+def root_from_stored(stored) -> Root:
+    """Read the root object, or raise `DocumentError`."""
+    try:
+        fields = json.loads(stored.value)
+        return Root(
+            Revision(**fields["revision"]),
+            fields["recent_change_ids"],
+            stored.version,
+        )
+    except (ValueError, TypeError, KeyError) as error:
+        raise DocumentError(f"the document's root cannot be read: {error}") from error
--- /dev/null
+++ b/packages/model/plantainshed_model/queries.py
@@ -0,0 +1,84 @@
+"""Questions about a document."""
+
+import json
+
+from attrs import frozen
+
+from .codec import to_fields
+from .document import Document, Drain, DrainKind, Pool
+
+ITEM_NAME_FIELDS = ("name", "key_id", "cidr")
+
+
+@frozen
+class Difference:
+    """One item that differs between two documents.
+
+    Parameters
+    ----------
+    path : str
+        List and item, such as ``workspaces[comune]``.
+    before, after : str
+        The item as JSON, empty where it does not exist.
+    """
+
+    path: str
+    before: str
+    after: str
+
+
+def pool_for_path(document: Document, path: str) -> Pool | None:
+    """Return the pool with the longest prefix that the path starts with."""
+    matches = [pool for pool in document.pools if _path_has_prefix(path, pool.prefix)]
+    return max(matches, key=lambda pool: len(pool.prefix), default=None)
+
+
+def _path_has_prefix(path: str, prefix: str) -> bool:
+    base = prefix.rstrip("/")
+    return path == base or path.startswith((base + "/", base + "?"))
+
+
+def region_of(document: Document, failure_domain: str) -> str:
+    """Return the region of a failure domain, empty if it is not known."""
+    for domain in document.failure_domains:
+        if domain.name == failure_domain:
+            return domain.region
+    return ""
+
+
+def is_drained(document: Document, kind: DrainKind, name: str) -> bool:
+    """Tell whether something is being drained."""
+    return Drain(kind, name) in document.drains
+
+
+def differences(before: Document, after: Document) -> list[Difference]:
+    """Return what differs, item by item, in the order of the document."""
+    fields_before = to_fields(before)
+    fields_after = to_fields(after)
+    found = []
+    for name in fields_after:
+        old = {_item_name(item): item for item in fields_before[name]}
+        new = {_item_name(item): item for item in fields_after[name]}
+        for item_name in sorted(old.keys() | new.keys()):
+            if old.get(item_name) != new.get(item_name):
+                found.append(
+                    Difference(
+                        f"{name}[{item_name}]",
+                        _as_json(old.get(item_name)),
+                        _as_json(new.get(item_name)),
+                    )
+                )
+    return found
+
+
+def _item_name(item: dict) -> str:
+    if "kind" in item:
+        return f"{item['kind']}/{item['name']}"
+    for field in ITEM_NAME_FIELDS:
+        if field in item:
+            return item[field]
+    return f"{item['region_a']}/{item['region_b']}"
+
+
+def _as_json(item) -> str:
+    return "" if item is None else json.dumps(item, sort_keys=True)
