--- a/packages/coordination/plantainshed_coordination/digests.py
+++ b/packages/coordination/plantainshed_coordination/digests.py
@@ -21,7 +21,7 @@
 
 def unit_hash(*parts: str) -> float:
     """Return a number in (0, 1) that depends on the parts alone."""
-    digest = xxhash.xxh64_intdigest("\x00".join(parts))
+    digest = xxhash.xxh64_intdigest("\x00".join(parts).encode())
     return (digest + 0.5) / HASH_SPAN
 
 
--- /dev/null
+++ b/packages/coordination/plantainshed_coordination/division.py
@@ -0,0 +1,40 @@
+"""Dividing a number of units among holders by what they want."""
+
+from collections.abc import Mapping
+
+EQUAL_SHARE = 0.1
+
+
+def divide(
+    units: int, wanted: Mapping[str, float], equal_share: float = EQUAL_SHARE
+) -> dict[str, int]:
+    """Divide units: a small part equally, the rest by what is wanted.
+
+    The parts sum to exactly ``units`` (to 0 without holders), by the method of
+    largest remainders; ties go by name, so that the result is the same for the
+    same input.
+
+    Parameters
+    ----------
+    units : int
+    wanted : mapping of str to float
+        What each holder could use; nobody is left out for wanting nothing.
+    equal_share : float
+        Fraction that is divided equally, so that a first request on a VM that
+        had none is not refused while the division catches up.
+    """
+    if not wanted:
+        return {}
+    total = sum(wanted.values())
+    if total <= 0:
+        equal_share = 1.0
+    exact = {}
+    for name, amount in wanted.items():
+        by_demand = amount / total if total > 0 else 0.0
+        share = equal_share / len(wanted) + (1 - equal_share) * by_demand
+        exact[name] = units * share
+    parts = {name: int(amount) for name, amount in exact.items()}
+    remainders = sorted(exact, key=lambda name: (parts[name] - exact[name], name))
+    for name in remainders[: units - sum(parts.values())]:
+        parts[name] += 1
+    return parts
--- /dev/null
+++ b/packages/coordination/plantainshed_coordination/holdings.py
@@ -0,0 +1,195 @@
+"""The parts that this VM holds, and the messages that change them."""
+
+from collections.abc import Callable, Iterable
+
+from .budgets import PART_OF_KIND, BudgetKind, BudgetSpec, CountPart, RatePart
+from .ledger import shard_of
+from .network import PeerNetwork
+from .peer_pb2 import (
+    Ack,
+    Demand,
+    DemandReport,
+    LoanGrant,
+    LoanRequest,
+    LoanReturn,
+    LowerParts,
+    Part,
+    PartsLowered,
+    SetParts,
+)
+
+AnyPart = RatePart | CountPart
+
+
+class Holdings:
+    """All parts of this VM, by budget.
+
+    Parameters
+    ----------
+    network : PeerNetwork
+    is_awake : callable
+        Whether this run may act; see `Membership.is_awake`.
+
+    Attributes
+    ----------
+    parts : dict of str to RatePart or CountPart
+    known_version : dict of str to int
+        Newest ledger version that was seen of each shard. What an older one
+        says is not believed any more.
+    choose_from_group : callable
+        Returns the count budget to lend from for a group's name, or None.
+    """
+
+    def __init__(self, network: PeerNetwork, is_awake: Callable[[], bool]):
+        self.network = network
+        self.is_awake = is_awake
+        self.parts: dict[str, AnyPart] = {}
+        self.known_version: dict[str, int] = {}
+        self.applied_version: dict[str, int] = {}
+        self.rebalancer_of: dict[str, str] = {}
+        self.leaving = False
+        self.choose_from_group: Callable[[str], str | None] = lambda name: None
+        network.handlers["loan_request"] = self._on_loan_request
+        network.handlers["loan_return"] = self._on_loan_return
+        network.handlers["lower_parts"] = self._on_lower_parts
+        network.handlers["set_parts"] = self._on_set_parts
+
+    def set_specs(self, specs: Iterable[BudgetSpec]):
+        """Take over the budgets of the document in force."""
+        wanted = {spec.name: spec for spec in specs}
+        for name in self.parts.keys() - wanted.keys():
+            del self.parts[name]
+        for name, spec in wanted.items():
+            part = self.parts.get(name)
+            if part is None or part.spec.kind is not spec.kind:
+                self.parts[name] = PART_OF_KIND[spec.kind](spec)
+            elif part.spec != spec:
+                part.set_spec(spec)
+
+    def rate(self, name: str) -> RatePart:
+        """Return the part of a rate budget."""
+        return self.parts[name]
+
+    def count(self, name: str) -> CountPart:
+        """Return the part of a count budget."""
+        return self.parts[name]
+
+    def shards(self) -> list[str]:
+        """Return the shards that this VM's budgets stand in."""
+        return sorted({shard_of(part.spec) for part in self.parts.values()})
+
+    def leave(self):
+        """Give up every part, as far as it is not in use, for good."""
+        self.leaving = True
+        for part in self.parts.values():
+            part.lower_to(0)
+
+    def report(self, shard: str, failure_domain: str) -> DemandReport:
+        """Return what this VM wants and holds of a shard."""
+        report = DemandReport(
+            shard=shard,
+            ledger_version=self.known_version.get(shard, 0),
+            failure_domain=failure_domain,
+            leaving=self.leaving,
+        )
+        for name, part in self.parts.items():
+            if shard_of(part.spec) != shard:
+                continue
+            if self.leaving:
+                part.lower_to(0)
+            wanted = part.wanted()
+            if wanted > 0 or part.units:
+                report.demands.append(
+                    Demand(budget=name, wanted=wanted, units=part.units)
+                )
+        return report
+
+    def apply(self, message: SetParts):
+        """Take over the parts that a ledger version gives this VM."""
+        version = message.version
+        if message.rebalancer:
+            self.rebalancer_of[message.shard] = message.rebalancer
+        if self.leaving:
+            # Everything was given up; what is on its way still was sent before.
+            return
+        if version == 0 or version < self.known_version.get(message.shard, 0):
+            # Late: a newer version, or a promise to a newer one, stands.
+            # Believing it would raise a part that was already given up.
+            return
+        is_first = version > self.applied_version.get(message.shard, 0)
+        self.known_version[message.shard] = version
+        self.applied_version[message.shard] = version
+        given = {part.budget: part for part in message.parts}
+        for name, part in self.parts.items():
+            if shard_of(part.spec) != message.shard:
+                continue
+            if name not in given:
+                part.lower_to(0)
+                continue
+            self._set(part, given[name], is_first)
+
+    def _set(self, part: AnyPart, given: Part, is_first: bool):
+        if part.spec.kind is BudgetKind.COUNT:
+            part.set_units(given.units, total=given.total)
+        else:
+            full = given.full and is_first and part.units == 0
+            part.set_units(given.units, full)
+
+    async def _on_set_parts(self, sender, message: SetParts):
+        self.apply(message)
+        return Ack()
+
+    async def _on_lower_parts(self, sender, message: LowerParts):
+        return self.lower(message)
+
+    def lower(self, message: LowerParts) -> PartsLowered:
+        """Give up parts for a ledger version that is about to be written.
+
+        From then on only that version, or a newer one, can raise them.
+        """
+        applied = self.applied_version.get(message.shard, 0)
+        known = self.known_version.get(message.shard, 0)
+        if message.for_version <= applied or message.for_version < known:
+            return PartsLowered()
+        self.known_version[message.shard] = message.for_version
+        lowered = PartsLowered()
+        for item in message.parts:
+            part = self.parts.get(item.budget)
+            units = part.lower_to(item.units) if part else 0
+            lowered.parts.append(Part(budget=item.budget, units=units))
+        return lowered
+
+    async def _on_loan_request(self, sender, message: LoanRequest):
+        if not self.is_awake():
+            return LoanGrant()
+        part = self.parts.get(message.budget)
+        if isinstance(part, RatePart):
+            amount = part.lend(message.amount)
+            return LoanGrant(amount=amount, left=part.level)
+        return self._lend_from_group(sender, message)
+
+    def _lend_from_group(self, sender, message: LoanRequest) -> LoanGrant:
+        name = self.choose_from_group(message.budget)
+        part = self.parts.get(name) if name else None
+        if part is None:
+            return LoanGrant()
+        borrower = (sender.vm, sender.incarnation)
+        if not part.lend(message.grant, borrower):
+            return LoanGrant()
+        return LoanGrant(amount=1, grant=message.grant, budget=name, left=part.free)
+
+    async def _on_loan_return(self, sender, message: LoanReturn):
+        # A borrower that never saw the answer cannot name the budget.
+        parts = [self.parts.get(message.budget)]
+        if not message.budget:
+            parts = list(self.parts.values())
+        for part in parts:
+            if isinstance(part, CountPart):
+                part.take_back(message.grant)
+        return Ack()
+
+    def end_loans_to_gone(self, is_gone: Callable[[str, int], bool]):
+        """Take back what was lent to runs that are certain to be over."""
+        for part in self.parts.values():
+            if isinstance(part, CountPart):
+                part.take_back_from_gone(is_gone)
--- /dev/null
+++ b/packages/coordination/plantainshed_coordination/lending.py
@@ -0,0 +1,223 @@
+"""Borrowing between VMs: what makes many parts work as one whole.
+
+A VM that has run out asks others before it refuses. It needs neither the store
+nor a rebalancer for that, so it goes on working through an outage.
+"""
+
+import itertools
+
+import trio
+from attrs import frozen
+
+from .budgets import RatePart
+from .digests import rendezvous_order
+from .errors import PeerError
+from .holdings import Holdings
+from .membership import Membership
+from .network import PeerNetwork
+from .peer_pb2 import LoanRequest, LoanReturn
+
+LOAN_TIMEOUT_S = 0.12
+WAVES = (3, 4, 8)
+DRY_MIN_S = 0.02
+DRY_MAX_S = 0.32
+PREFETCH_S = 0.05
+MAX_REFILL_WAIT_S = 0.05
+MAX_ROUNDS = 2
+RETURN_RETRY_S = 0.5
+MIN_LOAN = 1e-6
+
+
+@frozen
+class BorrowedCount:
+    """One of a count, borrowed from a lender until it is returned.
+
+    Parameters
+    ----------
+    lender : str
+        VM that lent it.
+    lender_incarnation : int
+    budget : str
+        Count budget that it is one of.
+    grant : str
+        Name of the loan.
+    """
+
+    lender: str
+    lender_incarnation: int
+    budget: str
+    grant: str
+
+
+@frozen
+class DrySpell:
+    """A time in which peers are not asked, as none had anything to lend."""
+
+    length_s: float
+    until: float
+
+
+class Lending:
+    """Takes from this VM's parts, and borrows what they lack.
+
+    Attributes
+    ----------
+    rounds : int
+        How often peers were asked for tokens.
+    """
+
+    def __init__(
+        self, network: PeerNetwork, membership: Membership, holdings: Holdings
+    ):
+        self.network = network
+        self.membership = membership
+        self.holdings = holdings
+        self.rounds = 0
+        self._running: dict[str, trio.Event] = {}
+        self._waiting: dict[str, int] = {}
+        self._dry: dict[str, DrySpell] = {}
+        self._last_left: dict[tuple[str, str], float] = {}
+        self._grant_numbers = itertools.count(1)
+        self._to_return, self._returning = trio.open_memory_channel(float("inf"))
+
+    async def run(self):
+        """Return borrowed counts until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                loan = await self._returning.receive()
+                nursery.start_soon(self._return, loan)
+
+    # Tokens of rate budgets.
+
+    async def take(self, name: str) -> bool:
+        """Take one token of a rate budget, borrowing it if need be.
+
+        False means that neither this VM nor those it could ask in time had
+        one. The wait is one round trip or two, never until a deadline.
+        """
+        part = self.holdings.rate(name)
+        part.demand.add(1)
+        if part.try_take():
+            return True
+        self._waiting[name] = self._waiting.get(name, 0) + 1
+        try:
+            for _ in range(MAX_ROUNDS):
+                if self._is_dry(name):
+                    break
+                await self._one_round(name, part)
+                if part.try_take():
+                    return True
+            return await self._take_after_refill(part)
+        finally:
+            self._waiting[name] -= 1
+
+    async def _take_after_refill(self, part: RatePart) -> bool:
+        wait_s = part.seconds_until()
+        if wait_s > MAX_REFILL_WAIT_S:
+            return False
+        await trio.sleep(wait_s)
+        return part.try_take()
+
+    def _is_dry(self, name: str) -> bool:
+        spell = self._dry.get(name)
+        return spell is not None and spell.until > trio.current_time()
+
+    async def _one_round(self, name: str, part: RatePart):
+        running = self._running.get(name)
+        if running is not None:
+            await running.wait()
+            return
+        done = self._running[name] = trio.Event()
+        try:
+            await self._ask_peers(name, part)
+        finally:
+            del self._running[name]
+            done.set()
+
+    async def _ask_peers(self, name: str, part: RatePart):
+        self.rounds += 1
+        candidates = self._lenders(name)
+        ahead = part.demand.read() * PREFETCH_S
+        for size in WAVES:
+            missing = self._waiting[name] - part.available()
+            if missing <= 0 or not candidates:
+                break
+            wave, candidates = candidates[:size], candidates[size:]
+            amount = (missing + ahead) / len(wave)
+            async with trio.open_nursery() as nursery:
+                for vm in wave:
+                    nursery.start_soon(self._borrow_tokens, vm, name, part, amount)
+            part.refill()
+        if part.available() >= 1:
+            self._dry.pop(name, None)
+            return
+        # Nobody has any. Asking again for each request of a workspace far
+        # above its rate would flood the peers and find nothing, so the pause
+        # doubles until something was found.
+        last = self._dry.get(name)
+        length = min(DRY_MAX_S, last.length_s * 2) if last else DRY_MIN_S
+        self._dry[name] = DrySpell(length, trio.current_time() + length)
+
+    def _lenders(self, name: str) -> list[str]:
+        """Return whom to ask, the likeliest to have some first."""
+        own = self.membership.identity
+        others = [vm for vm in self.membership.usable_vms() if vm != own.vm]
+        order = rendezvous_order(f"{name}/{self.rounds}", others)
+
+        def promise(vm: str) -> tuple[float, bool]:
+            near = self.membership.failure_domain_of(vm) == own.failure_domain
+            return self._last_left.get((name, vm), 1.0), near
+
+        return sorted(order, key=promise, reverse=True)
+
+    async def _borrow_tokens(self, vm: str, name: str, part: RatePart, amount: float):
+        asked_at = trio.current_time()
+        request = LoanRequest(budget=name, amount=max(amount, MIN_LOAN))
+        try:
+            grant = await self.network.ask(vm, "loan_request", request, LOAN_TIMEOUT_S)
+        except PeerError:
+            self._last_left[name, vm] = 0.0
+            return
+        self._last_left[name, vm] = grant.left
+        part.receive_loan(grant.amount, asked_at)
+
+    # One of a count.
+
+    async def borrow_count(
+        self, group: str, lenders: list[str]
+    ) -> BorrowedCount | None:
+        """Borrow one of a group of counts from the first lender that has one."""
+        identity = self.membership.identity
+        for vm in lenders:
+            grant_name = f"{identity.holder}/{next(self._grant_numbers)}"
+            request = LoanRequest(budget=group, amount=1, grant=grant_name)
+            member = self.membership.table.members.get(vm)
+            if member is None:
+                continue
+            incarnation = member.record.incarnation
+            try:
+                grant = await self.network.ask(
+                    vm, "loan_request", request, LOAN_TIMEOUT_S
+                )
+            except PeerError:
+                # The lender may have lent it all the same. It is told that
+                # nobody uses the loan, or it would miss that one for good.
+                self.give_back(BorrowedCount(vm, incarnation, "", grant_name))
+                continue
+            if grant.amount >= 1:
+                return BorrowedCount(vm, incarnation, grant.budget, grant_name)
+        return None
+
+    def give_back(self, loan: BorrowedCount):
+        """Return a borrowed count; goes on in the background until confirmed."""
+        self._to_return.send_nowait(loan)
+
+    async def _return(self, loan: BorrowedCount):
+        message = LoanReturn(budget=loan.budget, grant=loan.grant)
+        is_gone = self.membership.table.is_gone
+        while not is_gone(loan.lender, loan.lender_incarnation):
+            try:
+                await self.network.ask(loan.lender, "loan_return", message, 1.0)
+                return
+            except PeerError:
+                await trio.sleep(RETURN_RETRY_S)
--- /dev/null
+++ b/packages/coordination/plantainshed_coordination/members.py
@@ -0,0 +1,144 @@
+"""What is known of other VMs: a table of records and of when they were heard."""
+
+from enum import IntEnum, StrEnum
+
+from attrs import define, field
+
+from .peer_pb2 import MemberRecord
+
+
+class MemberState(IntEnum):
+    """What a VM says of itself."""
+
+    JOINING = 0
+    READY = 1
+    LEAVING = 2
+    LEFT = 3
+
+
+class Liveness(StrEnum):
+    """What is believed of a VM.
+
+    ``SUSPECT`` is only used last, ``SILENT`` not at all; both can be wrong.
+    ``GONE`` is certain: the platform took the VM away, or a later incarnation
+    of it is running.
+    """
+
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    SILENT = "silent"
+    GONE = "gone"
+
+
+@define
+class Member:
+    """One VM in the table.
+
+    Parameters
+    ----------
+    record : MemberRecord
+        The newest that is known.
+    beat : int
+        Highest beat number of that incarnation heard from anybody.
+    heard_at : float
+        When the beat last rose, by this process's clock.
+    verdict : Liveness
+        What the VM's own failure domain says of it; used for other domains.
+    changed_at : float
+        When the record last changed here.
+    """
+
+    record: MemberRecord
+    heard_at: float
+    changed_at: float
+    beat: int = 0
+    verdict: Liveness = Liveness.ALIVE
+
+    @property
+    def vm(self) -> str:
+        """Name of the VM."""
+        return self.record.vm
+
+    @property
+    def failure_domain(self) -> str:
+        """Failure domain of the VM."""
+        return self.record.failure_domain
+
+
+@define
+class MemberTable:
+    """All known VMs, and those that are known to be gone.
+
+    Records only move forward: by incarnation, then by revision. What arrives
+    late or twice therefore changes nothing.
+    """
+
+    members: dict[str, Member] = field(factory=dict)
+    gone: dict[tuple[str, int], float] = field(factory=dict)
+    domain_beats: dict[str, int] = field(factory=dict)
+    domain_heard_at: dict[str, float] = field(factory=dict)
+
+    def merge(self, record: MemberRecord, now: float) -> bool:
+        """Take over a record if it is newer; return whether it was."""
+        known = self.members.get(record.vm)
+        if known is None:
+            self.members[record.vm] = Member(_copy(record), now, now)
+            return True
+        old, new = _position(known.record), _position(record)
+        if new <= old:
+            return False
+        if new[0] > old[0]:
+            known.beat = 0
+            known.heard_at = now
+            known.verdict = Liveness.ALIVE
+        known.record = _copy(record)
+        known.changed_at = now
+        return True
+
+    def note_beat(self, vm: str, incarnation: int, beat: int, now: float):
+        """Note that a VM was alive when it made that beat."""
+        member = self.members.get(vm)
+        if member is None or member.record.incarnation != incarnation:
+            return
+        if beat > member.beat:
+            member.beat = beat
+            member.heard_at = now
+
+    def note_domain_beat(self, failure_domain: str, beat: int, now: float):
+        """Note that a failure domain was reachable at that beat of it."""
+        if beat > self.domain_beats.get(failure_domain, -1):
+            self.domain_beats[failure_domain] = beat
+            self.domain_heard_at[failure_domain] = now
+
+    def note_gone(self, vm: str, incarnation: int, now: float) -> bool:
+        """Note that an incarnation will never act again."""
+        if (vm, incarnation) in self.gone:
+            return False
+        self.gone[vm, incarnation] = now
+        return True
+
+    def is_gone(self, vm: str, incarnation: int) -> bool:
+        """Tell whether an incarnation is certain to be over."""
+        known = self.members.get(vm)
+        superseded = known is not None and known.record.incarnation > incarnation
+        return superseded or (vm, incarnation) in self.gone
+
+    def gone_since(self, vm: str, incarnation: int) -> float | None:
+        """Return when an incarnation was first known to be over, if it is."""
+        if (vm, incarnation) in self.gone:
+            return self.gone[vm, incarnation]
+        known = self.members.get(vm)
+        if known is not None and known.record.incarnation > incarnation:
+            self.gone[vm, incarnation] = known.changed_at
+            return known.changed_at
+        return None
+
+
+def _position(record: MemberRecord) -> tuple[int, int]:
+    return record.incarnation, record.revision
+
+
+def _copy(record: MemberRecord) -> MemberRecord:
+    copy = MemberRecord()
+    copy.CopyFrom(record)
+    return copy
--- /dev/null
+++ b/packages/coordination/plantainshed_coordination/network.py
@@ -0,0 +1,172 @@
+"""Messages between VMs: sending, asking, and handing on what arrives."""
+
+import itertools
+from collections import Counter, OrderedDict
+from collections.abc import Awaitable, Callable
+
+import trio
+from google.protobuf.message import DecodeError
+
+from .errors import PeerTimeout
+from .identity import Identity
+from .peer_pb2 import Envelope
+from .transport import Transport
+
+HandlerResult = Awaitable[object | None]
+PeerHandler = Callable[["Sender", object], HandlerResult]
+REPEATS = 2
+REMEMBERED_ANSWERS = 4096
+
+
+class Sender:
+    """Who sent a message.
+
+    Parameters
+    ----------
+    vm : str
+    incarnation : int
+    """
+
+    __slots__ = ("incarnation", "vm")
+
+    def __init__(self, vm: str, incarnation: int):
+        self.vm = vm
+        self.incarnation = incarnation
+
+
+class PeerNetwork:
+    """Names VMs instead of addresses, and matches answers to questions.
+
+    Parameters
+    ----------
+    identity : Identity
+    transport : Transport
+
+    Attributes
+    ----------
+    addresses : dict of str to str
+        Where each VM receives datagrams; kept by membership.
+    handlers : dict of str to callable
+        By the field name of the message in `Envelope`. What a handler returns
+        is sent back as the answer.
+    received : collections.Counter
+        Messages by field name.
+    """
+
+    def __init__(self, identity: Identity, transport: Transport):
+        self.identity = identity
+        self.transport = transport
+        self.addresses: dict[str, str] = {}
+        self.handlers: dict[str, PeerHandler] = {}
+        self.received = Counter()
+        self.sent = Counter()
+        self._request_ids = itertools.count(1)
+        self._waiting: dict[int, _Answer] = {}
+        self._answered: OrderedDict[tuple[str, int, int], object] = OrderedDict()
+
+    async def run(self):
+        """Receive messages for ever; each is handled in its turn."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                data = await self.transport.receive()
+                envelope = Envelope()
+                try:
+                    envelope.ParseFromString(data)
+                except DecodeError:
+                    self.received["undecodable"] += 1
+                    continue
+                nursery.start_soon(self._handle, envelope)
+
+    async def send(self, vm: str, field: str, message) -> None:
+        """Send a message to a VM; it may get lost."""
+        address = self.addresses.get(vm)
+        if address is not None:
+            await self.send_to(address, field, message)
+
+    async def send_to(self, address: str, field: str, message, **extra) -> None:
+        """Send a message to an address."""
+        envelope = Envelope(
+            vm=self.identity.vm, incarnation=self.identity.incarnation, **extra
+        )
+        getattr(envelope, field).CopyFrom(message)
+        self.sent[field] += 1
+        await self.transport.send(address, envelope.SerializeToString())
+
+    async def ask(self, vm: str, field: str, message, timeout_s: float):
+        """Send a message and return its answer, or raise `PeerTimeout`.
+
+        The question is repeated once, halfway. The other side handles it once
+        and answers each repeat with the same answer.
+        """
+        address = self.addresses.get(vm)
+        if address is None:
+            raise PeerTimeout(f"{vm}: no address is known")
+        request_id = next(self._request_ids)
+        answer = self._waiting[request_id] = _Answer()
+        try:
+            for _ in range(REPEATS):
+                await self.send_to(address, field, message, request_id=request_id)
+                with trio.move_on_after(timeout_s / REPEATS):
+                    await answer.arrived.wait()
+                    return answer.message
+        finally:
+            del self._waiting[request_id]
+        raise PeerTimeout(f"{vm}: no answer to {field} in {timeout_s:g} s")
+
+    async def _handle(self, envelope):
+        field = envelope.WhichOneof("body")
+        if field is None:
+            return
+        self.received[field] += 1
+        message = getattr(envelope, field)
+        if envelope.is_reply:
+            # An answer that comes after its question was given up has no
+            # waiting entry left and is dropped; it never reaches another one.
+            answer = self._waiting.get(envelope.request_id)
+            if answer is not None:
+                answer.message = message
+                answer.arrived.set()
+            return
+        handler = self.handlers.get(field)
+        if handler is None:
+            return
+        sender = Sender(envelope.vm, envelope.incarnation)
+        if not envelope.request_id:
+            await handler(sender, message)
+            return
+        question = (envelope.vm, envelope.incarnation, envelope.request_id)
+        if question not in self._answered:
+            # A repeated question must not be handled twice: a lender would
+            # lend twice and the borrower would hear of one loan only.
+            self._remember(question, None)
+            self._remember(question, await handler(sender, message))
+        reply = self._answered[question]
+        if reply is not None:
+            await self._reply(envelope, reply)
+
+    def _remember(self, question, reply):
+        self._answered[question] = reply
+        while len(self._answered) > REMEMBERED_ANSWERS:
+            self._answered.popitem(last=False)
+
+    async def _reply(self, envelope, reply):
+        field = FIELD_OF_TYPE[type(reply)]
+        address = self.addresses.get(envelope.vm)
+        if address is not None:
+            await self.send_to(
+                address, field, reply, request_id=envelope.request_id, is_reply=True
+            )
+
+
+class _Answer:
+    __slots__ = ("arrived", "message")
+
+    def __init__(self):
+        self.arrived = trio.Event()
+        self.message = None
+
+
+FIELD_OF_TYPE = {
+    field.message_type._concrete_class: field.name
+    for field in Envelope.DESCRIPTOR.oneofs_by_name["body"].fields
+}
--- /dev/null
+++ b/packages/coordination/plantainshed_coordination/rumors.py
@@ -0,0 +1,216 @@
+"""Small statements that have to reach every VM, flooded from peer to peer.
+
+A rumor is known by topic and name; one with a higher stamp replaces an older
+one. Permanent rumors only ever accumulate, and a digest of them travels in
+each heartbeat, so that whoever missed one is found out and sent all.
+"""
+
+import math
+from collections.abc import Callable
+
+import trio
+import xxhash
+from attrs import define, frozen
+
+from .digests import rendezvous_order
+from .members import Liveness
+from .membership import Membership
+from .network import PeerNetwork
+from .peer_pb2 import MemberRecord, Rumor
+from .peer_pb2 import Rumors as RumorsMessage
+
+REPEAT_DELAYS_S = (0.0, 0.3, 1.0, 3.0)
+REPAIR_PERIOD_S = 1.0
+REPAIRERS = 1
+BATCH = 200
+FOREVER = math.inf
+RECEIVERS_IN_OTHER_DOMAINS = 2
+
+
+@frozen
+class RumorKey:
+    """What a rumor is about."""
+
+    topic: str
+    name: str
+
+
+@define
+class HeardRumor:
+    """A rumor as this VM knows it.
+
+    Parameters
+    ----------
+    stamp : int
+        Higher replaces lower.
+    value : bytes
+    expires_at : float
+        By this process's clock; infinite for a permanent rumor.
+    origin : str
+        VM that began it.
+    """
+
+    stamp: int
+    value: bytes
+    expires_at: float
+    origin: str
+
+
+class RumorBook:
+    """All rumors that this VM knows, and the spreading of new ones.
+
+    Attributes
+    ----------
+    heard : dict of RumorKey to HeardRumor
+    listeners : dict of str to callable
+        By topic; called with name and rumor when one is new.
+    """
+
+    def __init__(self, network: PeerNetwork, membership: Membership):
+        self.network = network
+        self.membership = membership
+        self.heard: dict[RumorKey, HeardRumor] = {}
+        self.listeners: dict[str, Callable[[str, HeardRumor], None]] = {}
+        self._digest = 0
+        self._to_spread, self._spreading = trio.open_memory_channel(math.inf)
+        network.handlers["rumors"] = self._on_rumors
+
+    async def run(self):
+        """Spread rumors until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._repair)
+            while True:
+                key = await self._spreading.receive()
+                nursery.start_soon(self._flood, key)
+
+    def begin(
+        self, topic: str, name: str, value: bytes = b"", ttl_s: float = FOREVER
+    ) -> bool:
+        """Begin a rumor, or renew it; return whether it is new here."""
+        key = RumorKey(topic, name)
+        known = self.heard.get(key)
+        stamp = known.stamp + 1 if known and ttl_s != FOREVER else 1
+        expires_at = trio.current_time() + ttl_s
+        origin = self.membership.identity.vm
+        return self._learn(key, HeardRumor(stamp, value, expires_at, origin))
+
+    def knows(self, topic: str, name: str) -> bool:
+        """Tell whether an unexpired rumor is known."""
+        return self.find(topic, name) is not None
+
+    def find(self, topic: str, name: str) -> HeardRumor | None:
+        """Return an unexpired rumor."""
+        rumor = self.heard.get(RumorKey(topic, name))
+        if rumor is None or rumor.expires_at <= trio.current_time():
+            return None
+        return rumor
+
+    def names(self, topic: str) -> list[str]:
+        """Return what unexpired rumors of a topic are about."""
+        now = trio.current_time()
+        return sorted(
+            key.name
+            for key, rumor in self.heard.items()
+            if key.topic == topic and rumor.expires_at > now
+        )
+
+    def forget_expired(self):
+        """Drop what has expired."""
+        now = trio.current_time()
+        for key in [k for k, rumor in self.heard.items() if rumor.expires_at <= now]:
+            del self.heard[key]
+
+    @property
+    def digest(self) -> int:
+        """Digest of all permanent rumors, the same whatever their order."""
+        return self._digest
+
+    def _learn(self, key: RumorKey, rumor: HeardRumor) -> bool:
+        known = self.heard.get(key)
+        if known is not None and rumor.stamp <= known.stamp:
+            return False
+        self.heard[key] = rumor
+        if rumor.expires_at == FOREVER and known is None:
+            self._digest ^= xxhash.xxh64_intdigest(f"{key.topic}\x00{key.name}".encode())
+            self.membership.update_record(tombstone_digest=self._digest)
+        listener = self.listeners.get(key.topic)
+        if listener is not None:
+            listener(key.name, rumor)
+        self._to_spread.send_nowait(key)
+        return True
+
+    async def _flood(self, key: RumorKey):
+        # A single datagram may be lost. Repeats cover that within seconds, the
+        # digest in the heartbeats covers everything else.
+        for delay_s in REPEAT_DELAYS_S:
+            await trio.sleep(delay_s)
+            message = self._message([key])
+            for vm in self._receivers():
+                await self.network.send(vm, "rumors", message)
+
+    def _receivers(self) -> list[str]:
+        membership = self.membership
+        receivers = membership.domain_peers()
+        domains = {m.failure_domain for m in membership.table.members.values()}
+        for domain in sorted(domains - {membership.identity.failure_domain}):
+            live = membership.live_in_domain(domain)
+            order = rendezvous_order(membership.identity.vm, live)
+            receivers.extend(order[:RECEIVERS_IN_OTHER_DOMAINS])
+        return receivers
+
+    def _message(self, keys) -> RumorsMessage:
+        now = trio.current_time()
+        message = RumorsMessage()
+        for key in keys:
+            rumor = self.heard.get(key)
+            if rumor is None or rumor.expires_at <= now:
+                continue
+            message.rumors.append(
+                Rumor(
+                    topic=key.topic,
+                    name=key.name,
+                    stamp=rumor.stamp,
+                    ttl_s=rumor.expires_at - now,
+                    value=rumor.value,
+                    origin=rumor.origin,
+                )
+            )
+        return message
+
+    async def _on_rumors(self, sender, message: RumorsMessage):
+        now = trio.current_time()
+        for item in message.rumors:
+            self._learn(
+                RumorKey(item.topic, item.name),
+                HeardRumor(item.stamp, item.value, now + item.ttl_s, item.origin),
+            )
+
+    async def _repair(self):
+        """Send everything to peers whose digest shows that they miss some.
+
+        Flooding ends after a few seconds. A peer that was cut off meanwhile
+        would go on accepting a withdrawn key; its heartbeat gives it away.
+        """
+        while True:
+            await trio.sleep(REPAIR_PERIOD_S)
+            self.forget_expired()
+            for record in self.membership.records():
+                if record.tombstone_digest == self._digest:
+                    continue
+                if self._is_mine_to_repair(record):
+                    await self.send_all(record.vm)
+
+    def _is_mine_to_repair(self, record: MemberRecord) -> bool:
+        membership = self.membership
+        if membership.liveness(record.vm) not in (Liveness.ALIVE, Liveness.SUSPECT):
+            return False
+        if record.failure_domain == membership.identity.failure_domain:
+            return True
+        return membership.is_among_first(record.vm, REPAIRERS)
+
+    async def send_all(self, vm: str):
+        """Send a VM everything that is known."""
+        keys = list(self.heard)
+        for start in range(0, len(keys), BATCH):
+            message = self._message(keys[start : start + BATCH])
+            await self.network.send(vm, "rumors", message)
--- /dev/null
+++ b/packages/http/plantainshed_http/client.py
@@ -0,0 +1,198 @@
+"""A client's connection to an HTTP server, used for one exchange after another."""
+
+import contextlib
+import socket
+from collections.abc import AsyncIterator
+
+import h11
+import trio
+
+from .errors import ConnectFailed, ConnectionBroken
+from .messages import MAX_HEAD_BYTES, READ_BYTES, Headers, ResponseHead
+
+SOCKET_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError)
+
+
+class ClientConnection:
+    """An open connection to a server.
+
+    Parameters
+    ----------
+    stream : trio.SocketStream
+    address : str
+        ``IP:PORT`` of the server.
+
+    Attributes
+    ----------
+    touched : bool
+        Whether any byte of the present request may have reached the server.
+    """
+
+    def __init__(self, stream, address: str):
+        self.stream = stream
+        self.address = address
+        self.h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self.touched = False
+
+    @classmethod
+    async def open(cls, address: str, timeout_s: float) -> "ClientConnection":
+        """Connect, or raise `ConnectFailed`."""
+        host, _, port = address.rpartition(":")
+        try:
+            with trio.fail_after(timeout_s):
+                stream = await trio.open_tcp_stream(host.strip("[]"), int(port))
+        except (OSError, trio.TooSlowError) as error:
+            raise ConnectFailed(f"{address}: {error or 'timed out'}") from error
+        return cls(stream, address)
+
+    async def send_head(self, method: str, target: str, headers: Headers):
+        """Begin a request."""
+        if self.h11.our_state is h11.DONE:
+            self.h11.start_next_cycle()
+        self.touched = False
+        await self._send(h11.Request(method=method, target=target, headers=headers))
+
+    async def send_body(self, chunk: bytes):
+        """Send a piece of the body."""
+        await self._send(h11.Data(data=chunk))
+
+    async def end_request(self):
+        """End the request."""
+        await self._send(h11.EndOfMessage())
+
+    async def response_head(self) -> ResponseHead:
+        """Return the head of the final response."""
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Response):
+                headers = [(bytes(k), bytes(v)) for k, v in event.headers]
+                return ResponseHead(event.status_code, headers)
+            if not isinstance(event, h11.InformationalResponse):
+                raise ConnectionBroken(f"{self.address} closed before it answered")
+
+    async def response_body(self) -> AsyncIterator[bytes]:
+        """Yield the body of the response, a piece at a time."""
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Data):
+                yield bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                return
+            else:
+                raise ConnectionBroken(f"{self.address} closed in the middle")
+
+    async def read_response(self) -> tuple[ResponseHead, bytes]:
+        """Return a whole response."""
+        head = await self.response_head()
+        parts = [part async for part in self.response_body()]
+        return head, b"".join(parts)
+
+    async def request(
+        self, method: str, target: str, headers: Headers = (), body: bytes = b""
+    ) -> tuple[ResponseHead, bytes]:
+        """Send a whole request and return the whole response."""
+        all_headers = [(b"host", self.address.encode()), *headers]
+        if body:
+            all_headers.append((b"content-length", str(len(body)).encode()))
+        await self.send_head(method, target, all_headers)
+        if body:
+            await self.send_body(body)
+        await self.end_request()
+        return await self.read_response()
+
+    @property
+    def reusable(self) -> bool:
+        """Whether another request can be sent."""
+        return self.h11.our_state is h11.DONE and self.h11.their_state is h11.DONE
+
+    @property
+    def stale(self) -> bool:
+        """Whether the server has closed, or sent something, while idle.
+
+        Sending on such a connection would fail after the bytes have left, and
+        nobody could tell whether the request had run.
+        """
+        # A connection in order has nothing to read while idle. Bytes that
+        # nobody asked for would cross into the next caller's answer.
+        return self.h11.trailing_data[0] != b"" or is_readable(self.stream.socket)
+
+    async def aclose(self):
+        """Close at once; the server sees its work as cancelled."""
+        await trio.aclose_forcefully(self.stream)
+
+    async def _send(self, event):
+        try:
+            data = self.h11.send(event)
+        except h11.LocalProtocolError as error:
+            raise ConnectionBroken(f"{self.address}: {error}") from error
+        if data:
+            self.touched = True
+            try:
+                await self.stream.send_all(data)
+            except SOCKET_ERRORS as error:
+                raise ConnectionBroken(f"{self.address}: {error}") from error
+
+    async def _next_event(self):
+        while True:
+            try:
+                event = self.h11.next_event()
+            except h11.RemoteProtocolError as error:
+                raise ConnectionBroken(f"{self.address}: {error}") from error
+            if event is not h11.NEED_DATA:
+                return event
+            try:
+                data = await self.stream.receive_some(READ_BYTES)
+            except SOCKET_ERRORS as error:
+                raise ConnectionBroken(f"{self.address}: {error}") from error
+            self.h11.receive_data(data)
+
+
+def is_readable(sock) -> bool:
+    """Tell, without waiting, whether a socket has bytes, an end or an error."""
+    # trio's sockets have no call that does not wait, so a plain one is made
+    # from the same descriptor for a moment.
+    try:
+        plain = socket.fromfd(sock.fileno(), sock.family, sock.type)
+    except OSError:
+        return True
+    with contextlib.closing(plain):
+        try:
+            plain.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+    return True
+
+
+@contextlib.asynccontextmanager
+async def connected(address: str, timeout_s: float):
+    """Open a connection for the length of a block."""
+    connection = await ClientConnection.open(address, timeout_s)
+    try:
+        yield connection
+    finally:
+        await connection.aclose()
+
+
+async def fetch(
+    address: str,
+    method: str,
+    target: str,
+    headers: Headers = (),
+    body: bytes = b"",
+    timeout_s: float = 10.0,
+) -> tuple[ResponseHead, bytes]:
+    """Send one request on a connection of its own.
+
+    Raises
+    ------
+    HttpError
+        Also when the time is over.
+    """
+    try:
+        with trio.fail_after(timeout_s):
+            async with connected(address, timeout_s) as connection:
+                return await connection.request(method, target, headers, body)
+    except trio.TooSlowError as error:
+        raise ConnectionBroken(f"{address}: no answer in {timeout_s:g} s") from error
--- /dev/null
+++ b/packages/http/plantainshed_http/errors.py
@@ -0,0 +1,30 @@
+"""Errors of the HTTP layer; `h11` and socket errors never leave it."""
+
+
+class HttpError(Exception):
+    """Base of the HTTP layer's errors."""
+
+
+class BadMessage(HttpError):
+    """The other side sent something that is not acceptable HTTP.
+
+    Parameters
+    ----------
+    status : int
+        Status that a server answers with.
+    reason : str
+        What was wrong, for the person who sent it.
+    """
+
+    def __init__(self, status, reason):
+        super().__init__(reason)
+        self.status = status
+        self.reason = reason
+
+
+class ConnectFailed(HttpError):
+    """No connection could be opened; nothing was sent."""
+
+
+class ConnectionBroken(HttpError):
+    """The other side went away in the middle of an exchange."""
--- /dev/null
+++ b/packages/http/plantainshed_http/messages.py
@@ -0,0 +1,81 @@
+"""Heads of HTTP messages, and the limits that they are held to."""
+
+from attrs import frozen
+
+MAX_HEAD_BYTES = 32 * 1024
+READ_BYTES = 64 * 1024
+HEAD_TIMEOUT_S = 10.0
+IDLE_TIMEOUT_S = 60.0
+LINGER_BYTES = 256 * 1024
+LINGER_TIMEOUT_S = 1.0
+
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+
+Headers = list[tuple[bytes, bytes]]
+
+
+@frozen
+class RequestHead:
+    """Method, target and headers of a request.
+
+    Parameters
+    ----------
+    method : str
+    target : str
+        Path and query, as sent.
+    headers : list of (bytes, bytes)
+        Names in lower case.
+    """
+
+    method: str
+    target: str
+    headers: Headers
+
+    def header(self, name: bytes) -> str | None:
+        """Return the first header of that name, decoded, or None."""
+        return header_value(self.headers, name)
+
+
+@frozen
+class ResponseHead:
+    """Status and headers of a response."""
+
+    status: int
+    headers: Headers
+
+    def header(self, name: bytes) -> str | None:
+        """Return the first header of that name, decoded, or None."""
+        return header_value(self.headers, name)
+
+
+def header_value(headers: Headers, name: bytes) -> str | None:
+    """Return the first header of that name, decoded, or None."""
+    for key, value in headers:
+        if key == name:
+            return value.decode("latin-1")
+    return None
+
+
+def end_to_end(headers: Headers) -> Headers:
+    """Return the headers that concern the far end, not this connection."""
+    named = set()
+    for key, value in headers:
+        if key == b"connection":
+            named.update(part.strip().lower() for part in value.split(b","))
+    return [
+        (key, value)
+        for key, value in headers
+        if key not in HOP_BY_HOP and key not in named
+    ]
--- /dev/null
+++ b/packages/http/plantainshed_http/platform_client.py
@@ -0,0 +1,129 @@
+"""The platform's object store and VM list over HTTP.
+
+======== =============================== =========================================
+method   path                            meaning
+======== =============================== =========================================
+GET      ``/objects/KIND``               all objects of a kind
+GET      ``/objects/KIND/NAME``          one object; its version is the ``ETag``
+GET      ``/objects/KIND/NAME?not=N``    waits until the version is not N
+PUT      ``/objects/KIND/NAME``          ``If-Match: "N"`` or ``If-None-Match: *``
+GET      ``/vms``                        the list of VMs
+======== =============================== =========================================
+
+A conditional write that loses answers 412, a missing object 404, an outage 503.
+"""
+
+import base64
+import json
+
+import trio
+
+from plantainshed_coordination.errors import (
+    ObjectMissing,
+    OutcomeUnknown,
+    PlatformUnavailable,
+    VersionConflict,
+)
+from plantainshed_coordination.platform import ABSENT, ListedVm, StoredObject
+
+from .client import fetch
+from .errors import ConnectFailed, HttpError
+
+CALL_TIMEOUT_S = 5.0
+WATCH_TIMEOUT_S = 60.0
+WATCH_MARGIN_S = 5.0
+STATUS_MISSING = 404
+STATUS_NO_CHANGE = 304
+STATUS_CONFLICT = 412
+
+
+class HttpPlatform:
+    """The platform as its HTTP API offers it.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:PORT`` of the platform.
+    """
+
+    def __init__(self, address: str):
+        self.address = address
+
+    async def get(self, kind: str, name: str) -> StoredObject:
+        """Return an object, or raise `ObjectMissing`."""
+        head, body = await self._read(f"/objects/{kind}/{name}", CALL_TIMEOUT_S)
+        return _stored(kind, name, head, body)
+
+    async def put(
+        self, kind: str, name: str, value: bytes, expected_version: int
+    ) -> int:
+        """Write an object if it has the expected version; return the new one."""
+        if expected_version == ABSENT:
+            condition = (b"if-none-match", b"*")
+        else:
+            condition = (b"if-match", b'"%d"' % expected_version)
+        path = f"/objects/{kind}/{name}"
+        try:
+            head, body = await fetch(
+                self.address, "PUT", path, [condition], value, CALL_TIMEOUT_S
+            )
+        except ConnectFailed as error:
+            raise PlatformUnavailable(str(error)) from error
+        except HttpError as error:
+            # The bytes may have arrived: only the answer is known to be lost.
+            raise OutcomeUnknown(f"PUT {path}: {error}") from error
+        if head.status == STATUS_CONFLICT:
+            raise VersionConflict(f"{kind}/{name} is not at {expected_version}")
+        _require_success(head, path, body)
+        return _version(head)
+
+    async def list_objects(self, kind: str) -> list[StoredObject]:
+        """Return all objects of a kind."""
+        _, body = await self._read(f"/objects/{kind}", CALL_TIMEOUT_S)
+        return [
+            StoredObject(
+                kind, item["name"], item["version"], base64.b64decode(item["value"])
+            )
+            for item in json.loads(body)
+        ]
+
+    async def wait_for_change(
+        self, kind: str, name: str, known_version: int
+    ) -> StoredObject:
+        """Return the object as soon as its version is not the known one."""
+        path = f"/objects/{kind}/{name}?not={known_version}&wait={WATCH_TIMEOUT_S:g}"
+        while True:
+            head, body = await self._read(path, WATCH_TIMEOUT_S + WATCH_MARGIN_S)
+            if head.status != STATUS_NO_CHANGE:
+                return _stored(kind, name, head, body)
+            await trio.lowlevel.checkpoint()
+
+    async def list_vms(self) -> list[ListedVm]:
+        """Return the live and leaving VMs as the platform last knew them."""
+        _, body = await self._read("/vms", CALL_TIMEOUT_S)
+        return [ListedVm(item["vm"], item["leaving"]) for item in json.loads(body)]
+
+    async def _read(self, path, timeout_s):
+        try:
+            head, body = await fetch(self.address, "GET", path, timeout_s=timeout_s)
+        except HttpError as error:
+            raise PlatformUnavailable(f"GET {path}: {error}") from error
+        if head.status != STATUS_NO_CHANGE:
+            _require_success(head, path, body)
+        return head, body
+
+
+def _stored(kind, name, head, body) -> StoredObject:
+    return StoredObject(kind, name, _version(head), body)
+
+
+def _version(head) -> int:
+    return int((head.header(b"etag") or '"0"').strip('"'))
+
+
+def _require_success(head, path, body):
+    if head.status == STATUS_MISSING:
+        raise ObjectMissing(path)
+    if head.status >= 300:
+        text = body.decode("utf-8", "replace").strip()
+        raise PlatformUnavailable(f"{path}: {head.status} {text}")
--- /dev/null
+++ b/packages/http/plantainshed_http/server.py
@@ -0,0 +1,318 @@
+"""An HTTP server: one task for each connection, read straight down.
+
+`serve_http` accepts connections until its `Stopping` is set; from then on each
+connection ends politely after the exchange that it is in.
+"""
+
+import contextlib
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import h11
+import trio
+from attrs import define, field
+
+from .errors import BadMessage, ConnectionBroken
+from .messages import (
+    HEAD_TIMEOUT_S,
+    IDLE_TIMEOUT_S,
+    LINGER_BYTES,
+    LINGER_TIMEOUT_S,
+    MAX_HEAD_BYTES,
+    READ_BYTES,
+    Headers,
+    RequestHead,
+)
+
+Handler = Callable[["Exchange"], Awaitable[None]]
+SOCKET_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError)
+
+
+@define
+class Stopping:
+    """Tells connections that no further exchange is to begin."""
+
+    event: trio.Event = field(factory=trio.Event)
+    idle_scopes: set[trio.CancelScope] = field(factory=set)
+
+    @property
+    def is_set(self) -> bool:
+        """Whether the server is stopping."""
+        return self.event.is_set()
+
+    def set(self):
+        """Close idle connections and let the others finish their exchange."""
+        self.event.set()
+        for scope in list(self.idle_scopes):
+            scope.cancel()
+
+
+async def serve_http(
+    handler: Handler,
+    listeners: list[trio.SocketListener],
+    stopping: Stopping,
+    idle_timeout_s: float = IDLE_TIMEOUT_S,
+):
+    """Serve connections until stopped and all exchanges have ended."""
+
+    async def serve(stream):
+        await _Connection(stream, handler, stopping, idle_timeout_s).run()
+
+    async with trio.open_nursery() as connections:
+        async with trio.open_nursery() as accepting:
+            for listener in listeners:
+                accepting.start_soon(_accept, listener, serve, connections)
+            await stopping.event.wait()
+            accepting.cancel_scope.cancel()
+
+
+async def _accept(listener, serve, connections):
+    await trio.serve_listeners(serve, [listener], handler_nursery=connections)
+
+
+class Exchange:
+    """One request and its answer, as a handler sees them.
+
+    Parameters
+    ----------
+    request : RequestHead
+    caller : str
+        IP address of the other side.
+    """
+
+    def __init__(self, connection, request: RequestHead, caller: str):
+        self._connection = connection
+        self.request = request
+        self.caller = caller
+        self.started = False
+
+    async def body(self) -> AsyncIterator[bytes]:
+        """Yield the request's body, a piece at a time."""
+        while True:
+            event = await self._connection.next_body_event()
+            if event is None:
+                return
+            yield event
+
+    async def read_body(self, limit: int) -> bytes:
+        """Return the whole body, or raise `BadMessage` (413) above the limit."""
+        parts = []
+        size = 0
+        async for part in self.body():
+            size += len(part)
+            if size > limit:
+                raise BadMessage(413, f"the body may have {limit} bytes at most")
+            parts.append(part)
+        return b"".join(parts)
+
+    async def reply(self, status: int, headers: Headers, body: bytes = b""):
+        """Send a whole answer."""
+        length = (b"content-length", str(len(body)).encode())
+        await self.start(status, [*headers, length])
+        if body and self.request.method != "HEAD":
+            await self.send(body)
+        await self.finish()
+
+    async def start(self, status: int, headers: Headers):
+        """Send the head of an answer."""
+        self.started = True
+        await self._connection.send_head(status, headers)
+
+    async def send(self, chunk: bytes):
+        """Send a piece of the answer's body."""
+        await self._connection.send_event(h11.Data(data=chunk))
+
+    async def finish(self):
+        """End the answer."""
+        await self._connection.send_event(h11.EndOfMessage())
+
+    @contextlib.asynccontextmanager
+    async def cancelled_when_caller_leaves(self):
+        """Cancel the block when the caller closes its side meanwhile.
+
+        Without it a request goes on at its target, holding a slot there, for
+        a caller who has long gone. Use it after the body has been read: what
+        arrives then is the end of the stream or the start of a next request.
+        """
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._connection.watch_for_end, nursery.cancel_scope)
+            yield nursery.cancel_scope
+            nursery.cancel_scope.cancel()
+
+
+class _Connection:
+    def __init__(self, stream, handler, stopping, idle_timeout_s):
+        self.stream = stream
+        self.handler = handler
+        self.stopping = stopping
+        self.idle_timeout_s = idle_timeout_s
+        self.h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self.caller = _peer_address(stream)
+
+    async def run(self):
+        try:
+            await self._serve_exchanges()
+        except (ConnectionBroken, *SOCKET_ERRORS):
+            pass
+        finally:
+            await trio.aclose_forcefully(self.stream)
+
+    async def _serve_exchanges(self):
+        while True:
+            try:
+                request = await self._next_request()
+            except BadMessage as problem:
+                await self._refuse(problem)
+                return
+            if request is None:
+                return
+            await self._serve_one(Exchange(self, request, self.caller))
+            if self.h11.our_state is not h11.DONE or self.stopping.is_set:
+                await self._linger()
+                return
+            if self.h11.their_state is not h11.DONE:
+                await self._linger()
+                return
+            self.h11.start_next_cycle()
+
+    async def _serve_one(self, exchange):
+        try:
+            await self.handler(exchange)
+        except BadMessage as problem:
+            if exchange.started:
+                raise ConnectionBroken(problem.reason) from problem
+            await self._refuse(problem)
+
+    async def _next_request(self) -> RequestHead | None:
+        event = self._parse()
+        if event is h11.NEED_DATA and not self.h11.trailing_data[0]:
+            if not await self._wait_while_idle():
+                return None
+            event = self._parse()
+        with trio.move_on_after(HEAD_TIMEOUT_S) as scope:
+            while event is h11.NEED_DATA:
+                await self._receive()
+                event = self._parse()
+        if scope.cancelled_caught:
+            raise BadMessage(408, "the head of the request took too long to arrive")
+        if not isinstance(event, h11.Request):
+            return None
+        return _checked_request(event)
+
+    async def _wait_while_idle(self) -> bool:
+        """Wait for the first bytes of a request; False ends the connection."""
+        with trio.move_on_after(self.idle_timeout_s) as scope:
+            self.stopping.idle_scopes.add(scope)
+            try:
+                if self.stopping.is_set:
+                    return False
+                await self._receive()
+                return True
+            finally:
+                self.stopping.idle_scopes.discard(scope)
+        return False
+
+    async def next_body_event(self) -> bytes | None:
+        """Return the next piece of the body, None at its end."""
+        if self.h11.they_are_waiting_for_100_continue:
+            await self.send_event(
+                h11.InformationalResponse(status_code=100, headers=[])
+            )
+        while True:
+            event = self._parse()
+            if event is h11.NEED_DATA:
+                with trio.move_on_after(self.idle_timeout_s) as scope:
+                    await self._receive()
+                if scope.cancelled_caught:
+                    raise BadMessage(408, "the body took too long to arrive")
+            elif isinstance(event, h11.Data):
+                return bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage) or event is h11.PAUSED:
+                return None
+            else:
+                raise ConnectionBroken("the caller left in the middle of the body")
+
+    async def watch_for_end(self, scope: trio.CancelScope):
+        try:
+            data = await self.stream.receive_some(READ_BYTES)
+        except SOCKET_ERRORS:
+            data = b""
+        if data:
+            # The caller already sends its next request. It is kept for later;
+            # reading no more of it bounds what is buffered.
+            self.h11.receive_data(data)
+            return
+        scope.cancel()
+
+    async def send_head(self, status: int, headers: Headers):
+        if self.stopping.is_set or self.h11.their_state is not h11.DONE:
+            headers = [*headers, (b"connection", b"close")]
+        await self.send_event(h11.Response(status_code=status, headers=headers))
+
+    async def send_event(self, event):
+        data = self.h11.send(event)
+        if data:
+            await self.stream.send_all(data)
+
+    def _parse(self):
+        try:
+            return self.h11.next_event()
+        except h11.RemoteProtocolError as error:
+            raise BadMessage(error.error_status_hint, str(error)) from error
+
+    async def _receive(self):
+        data = await self.stream.receive_some(READ_BYTES)
+        self.h11.receive_data(data)
+
+    async def _refuse(self, problem: BadMessage):
+        if self.h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        body = (problem.reason + "\n").encode()
+        headers = [
+            (b"content-type", b"text/plain; charset=utf-8"),
+            (b"content-length", str(len(body)).encode()),
+            (b"connection", b"close"),
+        ]
+        await self.send_event(h11.Response(status_code=problem.status, headers=headers))
+        await self.send_event(h11.Data(data=body))
+        await self.send_event(h11.EndOfMessage())
+        await self._linger()
+
+    async def _linger(self):
+        """Read on a little after the last answer.
+
+        Closing a socket with unread bytes makes the kernel reset it, and the
+        caller then loses the answer that was just sent.
+        """
+        with contextlib.suppress(trio.ClosedResourceError):
+            await self.stream.send_eof()
+        left = LINGER_BYTES
+        with trio.move_on_after(LINGER_TIMEOUT_S):
+            while left > 0:
+                data = await self.stream.receive_some(READ_BYTES)
+                if not data:
+                    return
+                left -= len(data)
+
+
+def _checked_request(event: h11.Request) -> RequestHead:
+    headers = [(bytes(name), bytes(value)) for name, value in event.headers]
+    names = [name for name, _ in headers]
+    if b"transfer-encoding" in names and b"content-length" in names:
+        # Two servers that pick different ones of the two disagree on where
+        # the request ends; the rest would pass as another caller's request.
+        raise BadMessage(400, "a request has Transfer-Encoding or Content-Length")
+    if names.count(b"host") > 1:
+        raise BadMessage(400, "a request has one Host header")
+    if event.method == b"CONNECT":
+        raise BadMessage(405, "CONNECT is not offered here")
+    target = event.target.decode("latin-1")
+    if not target.startswith("/"):
+        raise BadMessage(400, f"the request target {target!r} must start with '/'")
+    return RequestHead(event.method.decode(), target, headers)
+
+
+def _peer_address(stream) -> str:
+    try:
+        return stream.socket.getpeername()[0]
+    except (OSError, AttributeError):
+        return ""
--- a/packages/model/plantainshed_model/checks.py
+++ b/packages/model/plantainshed_model/checks.py
@@ -7,6 +7,8 @@
 import math
 from collections import Counter
 
+from plantainshed_coordination.addresses import is_address
+
 from .document import Document, DrainKind
 from .errors import Fault, InvalidDocument
 
@@ -139,7 +141,9 @@
         try:
             ipaddress.ip_network(block.cidr)
         except ValueError as error:
-            yield Fault(f"{path}.cidr", f"must be a network such as 10.0.0.0/24: {error}")
+            yield Fault(
+                f"{path}.cidr", f"must be a network such as 10.0.0.0/24: {error}"
+            )
 
 
 def _check_shifts(document):
@@ -178,13 +182,3 @@
 def _check_number(path, value, lowest, highest):
     if not (math.isfinite(value) and lowest <= value <= highest):
         yield Fault(path, f"{value} must be between {lowest:g} and {highest:g}")
-
-
-def is_address(address: str) -> bool:
-    """Tell whether the text is an IP address and a port."""
-    host, _, port = address.rpartition(":")
-    try:
-        ipaddress.ip_address(host.strip("[]"))
-        return 0 < int(port) < 65_536
-    except ValueError:
-        return False
--- a/packages/model/plantainshed_model/codec.py
+++ b/packages/model/plantainshed_model/codec.py
@@ -43,7 +43,8 @@
     try:
         return converter.structure(fields, Document)
     except (ClassValidationError, IterableValidationError) as error:
-        raise InvalidDocument([_fault(line) for line in transform_error(error)])
+        faults = [_fault(line) for line in transform_error(error)]
+        raise InvalidDocument(faults) from error
 
 
 def to_text(document: Document) -> str:
@@ -92,7 +93,7 @@
 
 
 def _shard(name: str, count: int) -> int:
-    return xxhash.xxh64_intdigest(name) % count
+    return xxhash.xxh64_intdigest(name.encode()) % count
 
 
 def _fault(line: str) -> Fault:
