--- a/packages/coordination/plantainshed_coordination/budgets.py
+++ b/packages/coordination/plantainshed_coordination/budgets.py
@@ -9,7 +9,8 @@
   was acknowledged and written to the ledger (`rebalancer`).
 - A loan leaves the lender before it is sent. A borrowed token that does not
   arrive in time is lost, never doubled.
-- A new part starts with an empty bucket, or moving it would mint a burst.
+- A raised part gets no more tokens than the lowered ones gave up, or moving
+  parts would mint a burst.
 """
 
 import math
@@ -91,6 +92,21 @@
     until: float
 
 
+@frozen
+class Lowered:
+    """What is left of a part after it was lowered.
+
+    Parameters
+    ----------
+    units : int
+    level : float
+        Tokens that were given up with the rest.
+    """
+
+    units: int
+    level: float = 0.0
+
+
 class RatePart:
     """This VM's part of a token bucket.
 
@@ -194,14 +210,11 @@
             return math.inf
         return missing / (self.spec.rate * self.share)
 
-    def set_units(self, units: int, full: bool = False):
-        """Change the part; a raised one keeps its level.
-
-        ``full`` fills it and is only set for units that nobody ever held.
-        """
+    def set_units(self, units: int, level: float = 0.0):
+        """Change the part, and add the tokens that come with it."""
         self.refill()
         self.units = units
-        self.level = min(self.capacity, self.spec.burst if full else self.level)
+        self.level = min(self.capacity, self.level + level)
 
     def set_spec(self, spec: BudgetSpec):
         """Take over another rate and burst; the share stays."""
@@ -209,19 +222,22 @@
         self.spec = spec
         self.level = min(self.level, self.capacity)
 
-    def lower_to(self, units: int) -> int:
-        """Give up part of the share; return what is left.
+    def lower_to(self, units: int) -> Lowered:
+        """Give up part of the share, and what the smaller bucket cannot hold.
 
         What is on loan stays within this part until the loan is over. Given
         up earlier, it would stand in the ledger as another VM's and still be
         used by the borrower.
         """
+        self.refill()
         lent = self._lent_amount()
         if lent:
             units = max(units, math.ceil(lent / self.spec.burst * RATE_UNITS))
-        if units < self.units:
-            self.set_units(units)
-        return self.units
+        if units >= self.units:
+            return Lowered(self.units)
+        before = self.level
+        self.set_units(units)
+        return Lowered(units, before - self.level)
 
     def wanted(self) -> float:
         """Return how much this VM's callers ask for."""
@@ -303,7 +319,7 @@
         for grant in [g for g, run in self.lent.items() if is_gone(*run)]:
             self.take_back(grant)
 
-    def set_units(self, units: int, full: bool = False, total: int | None = None):
+    def set_units(self, units: int, total: int | None = None):
         """Change the part. ``total`` is the whole that it is a part of."""
         self.units = units
         self.total = self.spec.count if total is None else total
@@ -312,11 +328,11 @@
         """Take over another count."""
         self.spec = spec
 
-    def lower_to(self, units: int) -> int:
-        """Give up what is asked as far as it is not in use; return what is left."""
+    def lower_to(self, units: int) -> Lowered:
+        """Give up what is asked as far as it is not in use."""
         busy = self.in_use + len(self.lent)
         self.units = min(self.units, max(units, busy))
-        return self.units
+        return Lowered(self.units)
 
     def wanted(self) -> float:
         """Return how many this VM's callers could use; forgets old peaks."""
--- /dev/null
+++ b/packages/coordination/plantainshed_coordination/follower.py
@@ -0,0 +1,176 @@
+"""Following a versioned document: from the store, or from peers.
+
+Two VMs of each failure domain watch the store; the others learn of a version
+from heartbeats and fetch what they lack from whoever has it. A version is
+installed whole, after it has been checked, and only if it is higher.
+"""
+
+import random
+from collections.abc import Callable, Iterable
+
+import trio
+
+from .digests import content_digest, rendezvous_order
+from .errors import CoordinationError, SegmentMissing
+from .members import Liveness
+from .membership import Membership
+from .peer_pb2 import MemberRecord
+from .transport import BulkSource
+from .versioned import EMPTY_REVISION, DocumentStore, Revision, Root
+
+WATCHERS = 2
+POLL_S = 1.0
+RETRY_MIN_S = 0.2
+RETRY_MAX_S = 5.0
+PEERS_TRIED = 3
+REVISION_NAME = "revision"
+SEGMENT_PREFIX = "segment/"
+
+Install = Callable[[Revision, dict[str, bytes]], None]
+
+
+class DocumentFollower:
+    """Keeps this VM at the newest version that it can reach.
+
+    Parameters
+    ----------
+    store : DocumentStore
+    bulk : BulkSource
+    membership : Membership
+    install : callable
+        Takes a revision and all its segments into force. What it raises as a
+        `CoordinationError` leaves the version in force as it was.
+
+    Attributes
+    ----------
+    revision : Revision
+        The version in force.
+    refused : dict of int to str
+        Versions that could not be installed, and why.
+    store_heard_at : float
+        When the store last answered this VM.
+    """
+
+    def __init__(
+        self,
+        store: DocumentStore,
+        bulk: BulkSource,
+        membership: Membership,
+        install: Install,
+    ):
+        self.store = store
+        self.bulk = bulk
+        self.membership = membership
+        self.install = install
+        self.revision = EMPTY_REVISION
+        self.segments: dict[str, bytes] = {}
+        self.refused: dict[int, str] = {}
+        self.installed = trio.Event()
+        self.store_heard_at = trio.current_time()
+        self._news = trio.Event()
+        membership.on_change.append(self._note_record)
+
+    async def run(self):
+        """Follow until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch_store)
+            nursery.start_soon(self._follow_peers)
+
+    def value(self, name: str) -> bytes | None:
+        """Return what a peer may fetch: the revision, or one of its segments."""
+        if name == REVISION_NAME and self.revision.version:
+            return self.revision.to_bytes()
+        return self.segments.get(name.removeprefix(SEGMENT_PREFIX))
+
+    async def _watch_store(self):
+        """Watch the store, if this VM is one of its domain's watchers."""
+        root = Root(EMPTY_REVISION)
+        delay_s = RETRY_MIN_S
+        while True:
+            if not self.membership.is_among_first("document-watch", WATCHERS):
+                await trio.sleep(POLL_S)
+                continue
+            try:
+                root = await self.store.wait_for_newer(root)
+                self.store_heard_at = trio.current_time()
+                await self._take(root.revision, self.store.segment)
+                delay_s = RETRY_MIN_S
+            except CoordinationError:
+                # Jitter keeps all watchers of the fleet from coming back at
+                # the same moment when the store does.
+                await trio.sleep(delay_s * random.uniform(0.5, 1.5))
+                delay_s = min(RETRY_MAX_S, delay_s * 2)
+
+    def _note_record(self, record: MemberRecord):
+        if record.document_version > self.revision.version:
+            self._news.set()
+
+    async def _follow_peers(self):
+        while True:
+            with trio.move_on_after(POLL_S):
+                await self._news.wait()
+            self._news = trio.Event()
+            for record in self._better_peers():
+                try:
+                    await self._take_from(record)
+                    break
+                except CoordinationError:
+                    continue
+
+    def _better_peers(self) -> Iterable[MemberRecord]:
+        """Return peers with a newer version, those of the own domain first.
+
+        Other domains are asked only by two VMs of this one, so that a change
+        crosses each link a few times and not once for each VM.
+        """
+        own = self.membership.identity
+        near, far = [], []
+        for record in self.membership.records():
+            if record.document_version <= self.revision.version:
+                continue
+            if self.membership.liveness(record.vm) is not Liveness.ALIVE:
+                continue
+            is_near = record.failure_domain == own.failure_domain
+            (near if is_near else far).append(record)
+        if near or not self.membership.is_among_first("document-far", WATCHERS):
+            far = []
+        by_name = {record.vm: record for record in near or far}
+        order = rendezvous_order(own.vm, by_name)
+        return [by_name[vm] for vm in order[:PEERS_TRIED]]
+
+    async def _take_from(self, record: MemberRecord):
+        async def segment(digest: str) -> bytes:
+            return await self.bulk.fetch(record.control, SEGMENT_PREFIX + digest)
+
+        data = await self.bulk.fetch(record.control, REVISION_NAME)
+        await self._take(Revision.from_bytes(data), segment)
+
+    async def _take(self, revision: Revision, fetch_segment):
+        """Install a revision if it is newer, fetching only what changed."""
+        if revision.version <= self.revision.version:
+            return
+        segments = {}
+        for digest in revision.segments.values():
+            segments[digest] = self.segments.get(digest)
+            if segments[digest] is None:
+                segments[digest] = await self._fetch(digest, fetch_segment)
+        if revision.version <= self.revision.version:
+            # Another source was faster while this one was being fetched;
+            # installing now would put an older version in force.
+            return
+        texts = {name: segments[d] for name, d in revision.segments.items()}
+        try:
+            self.install(revision, texts)
+        except CoordinationError as error:
+            self.refused[revision.version] = str(error)
+            raise
+        self.segments = segments
+        self.revision = revision
+        self.installed.set()
+        self.membership.update_record(document_version=revision.version)
+
+    async def _fetch(self, digest: str, fetch_segment) -> bytes:
+        data = await fetch_segment(digest)
+        if content_digest(data) != digest:
+            raise SegmentMissing(f"segment {digest} arrived damaged")
+        return data
--- a/packages/coordination/plantainshed_coordination/holdings.py
+++ b/packages/coordination/plantainshed_coordination/holdings.py
@@ -2,7 +2,14 @@
 
 from collections.abc import Callable, Iterable
 
-from .budgets import PART_OF_KIND, BudgetKind, BudgetSpec, CountPart, RatePart
+from .budgets import (
+    PART_OF_KIND,
+    BudgetKind,
+    BudgetSpec,
+    CountPart,
+    Lowered,
+    RatePart,
+)
 from .ledger import shard_of
 from .network import PeerNetwork
 from .peer_pb2 import (
@@ -132,8 +139,9 @@
         if part.spec.kind is BudgetKind.COUNT:
             part.set_units(given.units, total=given.total)
         else:
-            full = given.full and is_first and part.units == 0
-            part.set_units(given.units, full)
+            # Tokens that come with a version are added once, however often the
+            # message arrives.
+            part.set_units(given.units, given.level if is_first else 0.0)
 
     async def _on_set_parts(self, sender, message: SetParts):
         self.apply(message)
@@ -155,8 +163,10 @@
         lowered = PartsLowered()
         for item in message.parts:
             part = self.parts.get(item.budget)
-            units = part.lower_to(item.units) if part else 0
-            lowered.parts.append(Part(budget=item.budget, units=units))
+            left = part.lower_to(item.units) if part else Lowered(0)
+            lowered.parts.append(
+                Part(budget=item.budget, units=left.units, level=left.level)
+            )
         return lowered
 
     async def _on_loan_request(self, sender, message: LoanRequest):
--- a/packages/coordination/plantainshed_coordination/ledger.py
+++ b/packages/coordination/plantainshed_coordination/ledger.py
@@ -30,14 +30,10 @@
         Units that the parts may sum to.
     parts : dict of str to int
         Units by holder, a run of a VM (`identity.holder_name`).
-    created_in : int
-        Ledger version in which the budget first appeared; only then may parts
-        start full.
     """
 
     total: int
     parts: dict[str, int]
-    created_in: int = 0
 
     @property
     def held(self) -> int:
--- /dev/null
+++ b/packages/coordination/plantainshed_coordination/nurseries.py
@@ -0,0 +1,35 @@
+"""A nursery whose errors come out as they were raised."""
+
+import contextlib
+
+import trio
+
+
+@contextlib.asynccontextmanager
+async def open_plain_nursery():
+    """Open a nursery that raises the first error itself, not a group of one.
+
+    For blocks that look straight-line to their callers, who catch errors of
+    their own layer and must not care that a task helped inside.
+    """
+    try:
+        async with trio.open_nursery() as nursery:
+            yield nursery
+    except BaseExceptionGroup as group:
+        raise _first_error(group) from None
+
+
+def _first_error(group: BaseExceptionGroup) -> BaseException:
+    leaves = list(_leaves(group))
+    for error in leaves:
+        if not isinstance(error, trio.Cancelled):
+            return error
+    return leaves[0]
+
+
+def _leaves(error: BaseException):
+    if isinstance(error, BaseExceptionGroup):
+        for inner in error.exceptions:
+            yield from _leaves(inner)
+    else:
+        yield error
--- /dev/null
+++ b/packages/coordination/plantainshed_coordination/operations.py
@@ -0,0 +1,256 @@
+"""At most once: which operations have begun, remembered by one VM each.
+
+An operation's id names the VM, its incarnation, and a period of that run; that
+run alone decides whether the operation may begin. A first attempt at the VM
+that the id names needs no other. A repeat elsewhere asks it; when that run is
+gone or out of reach, nobody can know, and the answer is "unknown", never a
+second run.
+"""
+
+from collections import OrderedDict
+from enum import IntEnum
+
+import trio
+from attrs import define, frozen
+
+from .errors import CoordinationError, PeerError
+from .identity import Identity
+from .members import Liveness
+from .membership import Membership
+from .network import PeerNetwork
+from .peer_pb2 import Ack, ClaimAnswer, ClaimRequest, OperationDone
+
+EPOCH_S = 600.0
+EPOCHS_REMEMBERED = 2
+MAX_ANSWER_BYTES = 16 * 1024
+MAX_ANSWERS = 512
+CLAIM_TIMEOUT_S = 0.5
+DONE_TIMEOUT_S = 1.0
+DONE_TRIES = 5
+MAX_NONCE = 64
+SEPARATOR = "~"
+
+
+class BadOperationId(CoordinationError):
+    """The text is not an operation id."""
+
+
+class Verdict(IntEnum):
+    """What the remembering run says to a claim."""
+
+    RUN = 1
+    IN_PROGRESS = 2
+    DONE = 3
+    UNKNOWN = 4
+
+
+@frozen
+class OperationId:
+    """An operation id, taken apart.
+
+    Parameters
+    ----------
+    vm : str
+    incarnation : int
+        The run that remembers the operation.
+    epoch : int
+        Period of that run, `EPOCH_S` long.
+    nonce : str
+        Chosen by the caller.
+    """
+
+    vm: str
+    incarnation: int
+    epoch: int
+    nonce: str
+
+    @classmethod
+    def parse(cls, text: str) -> "OperationId":
+        """Read an id such as ``mil-a-1~1764720000000~3~9f2c``."""
+        parts = text.split(SEPARATOR)
+        try:
+            vm, incarnation, epoch, nonce = parts
+            parsed = cls(vm, int(incarnation), int(epoch), nonce)
+        except ValueError:
+            raise BadOperationId(
+                f"{text!r} must read VM~INCARNATION~EPOCH~NONCE; the first three "
+                "come with the answer to a look-up"
+            ) from None
+        if not nonce or len(nonce) > MAX_NONCE:
+            raise BadOperationId(f"the nonce must have 1 to {MAX_NONCE} characters")
+        return parsed
+
+    def __str__(self):
+        return SEPARATOR.join(
+            (self.vm, str(self.incarnation), str(self.epoch), self.nonce)
+        )
+
+
+def operation_prefix(record) -> str:
+    """Return what a caller puts before its nonce, from a VM's record."""
+    return SEPARATOR.join(
+        (record.vm, str(record.incarnation), str(record.operation_epoch), "")
+    )
+
+
+@define
+class RememberedOperation:
+    """What is known of an operation that has begun.
+
+    Parameters
+    ----------
+    runner : str
+        Run that was allowed to begin it.
+    done : bool
+    answer : bytes or None
+        What the caller was told, if it was small enough to keep.
+    """
+
+    runner: str
+    done: bool = False
+    answer: bytes | None = None
+
+
+@frozen
+class Claim:
+    """The answer to a claim, and the stored answer if there is one."""
+
+    verdict: Verdict
+    answer: bytes | None = None
+
+
+class OperationBook:
+    """Remembers this run's operations, and claims those of others.
+
+    Memory: about 200 bytes an operation for up to `EPOCHS_REMEMBERED` epochs,
+    and `MAX_ANSWERS` answers of up to `MAX_ANSWER_BYTES`.
+    """
+
+    def __init__(self, network: PeerNetwork, membership: Membership):
+        self.network = network
+        self.membership = membership
+        self.epochs: dict[int, dict[str, RememberedOperation]] = {}
+        self._answers: OrderedDict[tuple[int, str], None] = OrderedDict()
+        network.handlers["claim_request"] = self._on_claim
+        network.handlers["operation_done"] = self._on_done
+
+    async def run(self):
+        """Begin a new epoch every `EPOCH_S`."""
+        while True:
+            await trio.sleep(EPOCH_S)
+            epoch = self.membership.record.operation_epoch + 1
+            self.membership.update_record(operation_epoch=epoch)
+            for old in [e for e in self.epochs if e <= epoch - EPOCHS_REMEMBERED]:
+                del self.epochs[old]
+
+    @property
+    def identity(self) -> Identity:
+        """The run that remembers."""
+        return self.membership.identity
+
+    async def claim(self, operation: OperationId) -> Claim:
+        """Ask whether an operation may begin here and now."""
+        if self._is_own(operation):
+            return self._decide(operation, self.identity.holder)
+        if operation.vm == self.identity.vm:
+            return Claim(Verdict.UNKNOWN)
+        if self.membership.liveness(operation.vm) is Liveness.GONE:
+            return Claim(Verdict.UNKNOWN)
+        request = ClaimRequest(operation=str(operation), runner=self.identity.holder)
+        try:
+            answer = await self.network.ask(
+                operation.vm, "claim_request", request, CLAIM_TIMEOUT_S
+            )
+        except PeerError:
+            # The run that remembers cannot be asked. It may have run the
+            # operation; running it here could book a second chair.
+            return Claim(Verdict.UNKNOWN)
+        return Claim(Verdict(answer.verdict), answer.answer or None)
+
+    async def finish(self, operation: OperationId, answer: bytes | None):
+        """Note that an operation ended with an answer for the caller."""
+        if answer is not None and len(answer) > MAX_ANSWER_BYTES:
+            answer = None
+        message = OperationDone(operation=str(operation), answer=answer or b"")
+        await self._tell(operation, message)
+
+    async def release(self, operation: OperationId):
+        """Note that an operation certainly did not run; it may be tried again."""
+        await self._tell(
+            operation, OperationDone(operation=str(operation), not_run=True)
+        )
+
+    async def _tell(self, operation: OperationId, message: OperationDone):
+        if self._is_own(operation):
+            self._note_done(operation, message)
+            return
+        for _ in range(DONE_TRIES):
+            try:
+                await self.network.ask(
+                    operation.vm, "operation_done", message, DONE_TIMEOUT_S
+                )
+                return
+            except PeerError:
+                if self.membership.liveness(operation.vm) is Liveness.GONE:
+                    return
+
+    def _is_own(self, operation: OperationId) -> bool:
+        return (operation.vm, operation.incarnation) == (
+            self.identity.vm,
+            self.identity.incarnation,
+        )
+
+    def _decide(self, operation: OperationId, runner: str) -> Claim:
+        epoch = self.membership.record.operation_epoch
+        if not epoch - EPOCHS_REMEMBERED < operation.epoch <= epoch:
+            # Too old to be remembered: a first attempt and a repeat look the
+            # same, and only one of them may run.
+            return Claim(Verdict.UNKNOWN)
+        known = self.epochs.setdefault(operation.epoch, {})
+        remembered = known.get(operation.nonce)
+        if remembered is None:
+            known[operation.nonce] = RememberedOperation(runner)
+            return Claim(Verdict.RUN)
+        if remembered.done:
+            return Claim(Verdict.DONE, remembered.answer)
+        if self._is_over(remembered.runner):
+            return Claim(Verdict.UNKNOWN)
+        return Claim(Verdict.IN_PROGRESS)
+
+    def _is_over(self, runner: str) -> bool:
+        vm, _, incarnation = runner.rpartition(SEPARATOR)
+        return self.membership.table.is_gone(vm, int(incarnation))
+
+    def _note_done(self, operation: OperationId, message: OperationDone):
+        known = self.epochs.get(operation.epoch, {})
+        remembered = known.get(operation.nonce)
+        if remembered is None:
+            return
+        if message.not_run:
+            if not remembered.done:
+                del known[operation.nonce]
+            return
+        remembered.done = True
+        remembered.answer = message.answer or None
+        self._answers[operation.epoch, operation.nonce] = None
+        while len(self._answers) > MAX_ANSWERS:
+            (old_epoch, nonce), _ = self._answers.popitem(last=False)
+            old = self.epochs.get(old_epoch, {}).get(nonce)
+            if old is not None:
+                old.answer = None
+
+    async def _on_claim(self, sender, message: ClaimRequest):
+        try:
+            operation = OperationId.parse(message.operation)
+        except BadOperationId:
+            return ClaimAnswer(verdict=Verdict.UNKNOWN)
+        if not self._is_own(operation) or not self.membership.is_awake():
+            return ClaimAnswer(verdict=Verdict.UNKNOWN)
+        claim = self._decide(operation, message.runner)
+        return ClaimAnswer(verdict=claim.verdict, answer=claim.answer or b"")
+
+    async def _on_done(self, sender, message: OperationDone):
+        operation = OperationId.parse(message.operation)
+        if self._is_own(operation):
+            self._note_done(operation, message)
+        return Ack()
--- a/packages/coordination/plantainshed_coordination/rebalancer.py
+++ b/packages/coordination/plantainshed_coordination/rebalancer.py
@@ -10,7 +10,7 @@
 import trio
 from attrs import evolve, frozen
 
-from .budgets import BudgetKind, BudgetSpec
+from .budgets import BudgetKind, BudgetSpec, Lowered
 from .digests import rendezvous_order
 from .division import divide
 from .errors import CoordinationError, PeerError
@@ -81,6 +81,7 @@
         self.ledger: Ledger | None = None
         self.reports: dict[str, HeardReport] = {}
         self.writes = 0
+        self.levels: dict[tuple[str, str], float] = {}
 
     async def run(self, candidates):
         """Hold the lease when it can be had, and rebalance while it is held.
@@ -121,6 +122,7 @@
         if await self.lease.try_hold():
             if not was_held:
                 self.ledger = None
+                self.levels = {}
         elif self.lease.seen and self.lease.seen.holder:
             vm, _ = split_holder(self.lease.seen.holder)
             self.holdings.rebalancer_of[self.shard] = vm
@@ -132,6 +134,7 @@
             # Whatever went wrong, what stands in the store is the truth, and
             # every part that was lowered meanwhile only lost budget.
             self.ledger = None
+            self.levels = {}
 
     async def on_report(self, sender, report: DemandReport) -> SetParts:
         """Take in a demand report; answer with the sender's present parts."""
@@ -157,15 +160,17 @@
         falls = list(self._falls(before, targets))
         lowered = await self._collect(falls, before.version + 1)
         changed = False
+        levels: dict[tuple[str, str], float] = {}
         for name, wanted_parts in targets.items():
             entry = self._next_entry(before, name, wanted_parts, lowered)
             changed |= entry != before.entries.get(name)
             after.entries[name] = entry
+            levels.update(self._pass_on_level(before, name, entry, lowered))
         for name in before.entries.keys() - {spec.name for spec in self._specs()}:
             changed = True
             del after.entries[name]
         if changed or self._somebody_waits_for(before.version):
-            await self._publish(before, after)
+            await self._publish(before, after, levels)
 
     def _somebody_waits_for(self, version: int) -> bool:
         """Tell whether a holder gave something up for a version never written.
@@ -272,7 +277,7 @@
 
     async def _collect(self, falls: list[Fall], for_version: int):
         """Ask for all falls at once; return what each holder says it keeps."""
-        kept: dict[tuple[str, str], int] = {}
+        kept: dict[tuple[str, str], Lowered] = {}
         by_holder: dict[str, list[Fall]] = {}
         for fall in falls:
             by_holder.setdefault(fall.holder, []).append(fall)
@@ -298,15 +303,15 @@
             except PeerError:
                 return
         for part in answer.parts:
-            kept[holder, part.budget] = part.units
+            kept[holder, part.budget] = Lowered(part.units, part.level)
 
     def _next_entry(self, ledger: Ledger, name, target, lowered) -> LedgerEntry:
         spec = self.holdings.parts[name].spec
         entry = ledger.entries.get(name)
         if entry is None:
-            return LedgerEntry(spec.units, dict(target), ledger.version + 1)
+            return LedgerEntry(spec.units, dict(target))
         parts = {
-            holder: min(units, lowered.get((holder, name), units))
+            holder: min(units, lowered.get((holder, name), Lowered(units)).units)
             for holder, units in self._present(name, entry).items()
         }
         total = max(spec.units, sum(parts.values()))
@@ -318,17 +323,44 @@
         free = min(max(0, spec.units - sum(parts.values())), int(sum(lacking.values())))
         for holder, units in divide(free, lacking, equal_share=0.0).items():
             parts[holder] = parts.get(holder, 0) + units
-        return LedgerEntry(
-            total, {h: u for h, u in parts.items() if u}, entry.created_in
-        )
+        return LedgerEntry(total, {h: u for h, u in parts.items() if u})
+
+    def _pass_on_level(self, before: Ledger, name, entry: LedgerEntry, lowered):
+        """Return the tokens that come with each raised part, by (holder, budget).
+
+        They are those that lowered parts gave up. Without this a workspace
+        would lose its burst whenever its callers move to another VM. A budget
+        that never was in the ledger starts full.
+        """
+        spec = self.holdings.parts[name].spec
+        if spec.kind is not BudgetKind.RATE:
+            return {}
+        old = before.entries.get(name)
+        if old is None:
+            given_up = spec.burst
+        else:
+            given_up = sum(
+                low.level for (_, budget), low in lowered.items() if budget == name
+            )
+        old_parts = old.parts if old else {}
+        raised = {
+            holder: units - old_parts.get(holder, 0)
+            for holder, units in entry.parts.items()
+            if units > old_parts.get(holder, 0)
+        }
+        total = sum(raised.values())
+        return {
+            (holder, name): given_up * units / total for holder, units in raised.items()
+        }
 
-    async def _publish(self, before: Ledger, after: Ledger):
+    async def _publish(self, before: Ledger, after: Ledger, levels):
         version = before.version + 1
         mark = f"{self.membership.identity.holder}/{version}/{self.writes}"
         self.ledger = await write_ledger(
             self.platform, evolve(after, version=version, writer=mark)
         )
         self.writes += 1
+        self.levels = levels
         for holder in list(self.reports):
             if self._is_over(holder):
                 continue
@@ -352,7 +384,7 @@
                 Part(
                     budget=name,
                     units=units,
-                    full=entry.created_in == ledger.version,
+                    level=self.levels.get((holder, name), 0.0),
                     total=entry.total,
                 )
             )
--- a/packages/coordination/plantainshed_coordination/rumors.py
+++ b/packages/coordination/plantainshed_coordination/rumors.py
@@ -131,7 +131,9 @@
             return False
         self.heard[key] = rumor
         if rumor.expires_at == FOREVER and known is None:
-            self._digest ^= xxhash.xxh64_intdigest(f"{key.topic}\x00{key.name}".encode())
+            self._digest ^= xxhash.xxh64_intdigest(
+                f"{key.topic}\x00{key.name}".encode()
+            )
             self.membership.update_record(tombstone_digest=self._digest)
         listener = self.listeners.get(key.topic)
         if listener is not None:
--- /dev/null
+++ b/packages/entry/plantainshed_entry/cli.py
@@ -0,0 +1,39 @@
+"""The command ``plantainshed-entry``."""
+
+import sys
+
+import fire
+import trio
+
+from .daemon import run_until_signalled
+from .errors import SettingsError
+from .settings import load_settings
+from .status import ExitCode
+
+
+def run(settings: str, check: bool = False):
+    """Run an entry daemon with a settings file.
+
+    Parameters
+    ----------
+    settings : str
+        Path of an INI file.
+    check : bool
+        Only say whether the file would start.
+    """
+    try:
+        loaded = load_settings(settings)
+    except SettingsError as error:
+        print(f"plantainshed-entry: {settings} cannot be used:", file=sys.stderr)
+        for fault in error.faults:
+            print(f"  {fault}", file=sys.stderr)
+        sys.exit(ExitCode.BAD_SETTINGS)
+    if check:
+        print(f"{settings}: ok; would start {loaded.vm} on {loaded.listen}")
+        return
+    trio.run(run_until_signalled, loaded)
+
+
+def main():
+    """Run the command line."""
+    fire.Fire(run, name="plantainshed-entry")
--- /dev/null
+++ b/packages/entry/plantainshed_entry/commands.py
@@ -0,0 +1,76 @@
+"""What operators can have a running daemon do or tell, over its control port."""
+
+import hmac
+
+import orjson
+
+from plantainshed_coordination.peer_pb2 import ControlReply, ControlRequest
+
+from .node import Node
+
+WITHDRAW_KEY = "withdraw-key"
+STATUS = "status"
+
+
+class Commands:
+    """Carries out operators' commands on a node.
+
+    Parameters
+    ----------
+    node : Node
+    credential : bytes
+        What a command must bear; the fleet's secret. Empty accepts all, for a
+        fleet whose settings name no secret.
+    """
+
+    def __init__(self, node: Node, credential: bytes):
+        self.node = node
+        self.credential = credential
+        self.by_name = {WITHDRAW_KEY: self._withdraw_key, STATUS: self._status}
+
+    async def handle(self, request: ControlRequest) -> ControlReply:
+        """Carry out one command."""
+        if not hmac.compare_digest(request.credential.encode(), self.credential):
+            return ControlReply(message="the credential is not this fleet's")
+        command = self.by_name.get(request.command)
+        if command is None:
+            known = ", ".join(self.by_name)
+            return ControlReply(
+                message=f"command: {request.command!r} is not one of {known}"
+            )
+        value = command(orjson.loads(request.arguments or b"{}"))
+        return ControlReply(accepted=True, value=orjson.dumps(value))
+
+    def _withdraw_key(self, arguments: dict) -> dict:
+        self.node.withdraw_key(arguments["key_id"])
+        return {"key_id": arguments["key_id"]}
+
+    def _status(self, arguments: dict) -> dict:
+        return fleet_status(self.node)
+
+
+def fleet_status(node: Node) -> dict:
+    """Return what a node knows of every VM, as plain values for operators."""
+    membership = node.membership
+    digest = node.rumors.digest
+    vms = []
+    for record in sorted(membership.records(), key=lambda record: record.vm):
+        vms.append(
+            {
+                "vm": record.vm,
+                "failure_domain": record.failure_domain,
+                "state": record.state,
+                "liveness": str(membership.liveness(record.vm)),
+                "document_version": record.document_version,
+                "withdrawals_confirmed": record.tombstone_digest == digest,
+                "listen": record.listen,
+                "control": record.control,
+            }
+        )
+    return {
+        "asked": membership.identity.vm,
+        "document_version": node.version,
+        "withdrawn_keys": node.rumors.names("key-withdrawn"),
+        "refused_versions": {str(v): w for v, w in node.follower.refused.items()},
+        "vms": vms,
+    }
--- /dev/null
+++ b/packages/entry/plantainshed_entry/daemon.py
@@ -0,0 +1,106 @@
+"""The entry daemon: a node on real sockets."""
+
+import contextlib
+import signal
+import time
+
+import trio
+
+from plantainshed_coordination.addresses import split_address
+from plantainshed_coordination.control import ControlClient, serve_control
+from plantainshed_coordination.identity import Identity
+from plantainshed_coordination.transport import DatagramTransport
+from plantainshed_http.platform_client import HttpPlatform
+from plantainshed_http.server import Stopping, serve_http
+
+from .commands import Commands
+from .context import Context
+from .handlers import Handlers
+from .http_probe import probe_over_http
+from .logs import open_log
+from .node import Node
+from .relay import open_relay
+from .settings import Settings
+
+LEAVE_TIMEOUT_S = 30.0
+BACKLOG = 512
+
+
+async def run_daemon(settings: Settings, stop: trio.Event, ready: trio.Event):
+    """Run a daemon until `stop` is set, then stop without cutting a request.
+
+    Parameters
+    ----------
+    settings : Settings
+    stop : trio.Event
+    ready : trio.Event
+        Set by this function once the sockets are open.
+    """
+    async with _open_context(settings) as context, open_relay() as relay:
+        node = Node(context, relay.run, probe_over_http)
+        commands = Commands(node, settings.fleet_secret)
+        stopping = Stopping()
+        listeners = await _listen(settings.listen)
+        async with (
+            serve_control(settings.control, node.follower.value, commands.handle),
+            trio.open_nursery() as nursery,
+        ):
+            nursery.start_soon(node.run)
+            nursery.start_soon(serve_http, Handlers(node).handle, listeners, stopping)
+            nursery.start_soon(_stop_when_superseded, node, stop)
+            ready.set()
+            await stop.wait()
+            await node.leave(LEAVE_TIMEOUT_S)
+            stopping.set()
+            nursery.cancel_scope.cancel()
+        context.log.info("stopped")
+
+
+async def _stop_when_superseded(node: Node, stop: trio.Event):
+    await node.membership.superseded.wait()
+    node.log.error("another run of this VM has replaced this one; stopping")
+    stop.set()
+
+
+@contextlib.asynccontextmanager
+async def _open_context(settings: Settings):
+    transport = await DatagramTransport.open(settings.peer, settings.fleet_secret)
+    bulk = ControlClient()
+    try:
+        yield Context(
+            settings=settings,
+            # Only an identity: no time is ever measured with the wall clock.
+            identity=Identity(
+                settings.vm, settings.failure_domain, time.time_ns() // 1_000_000
+            ),
+            platform=HttpPlatform(settings.platform),
+            transport=transport,
+            bulk=bulk,
+            log=open_log(settings.vm, settings.log_level),
+        )
+    finally:
+        transport.close()
+        bulk.close()
+
+
+async def _listen(address: str) -> list[trio.SocketListener]:
+    host, port = split_address(address)
+    return await trio.open_tcp_listeners(port, host=host, backlog=BACKLOG)
+
+
+async def run_until_signalled(settings: Settings):
+    """Run a daemon until SIGTERM or SIGINT; a second one ends it at once."""
+    stop, ready = trio.Event(), trio.Event()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_watch_signals, stop, nursery.cancel_scope)
+        await run_daemon(settings, stop, ready)
+        nursery.cancel_scope.cancel()
+
+
+async def _watch_signals(stop: trio.Event, scope: trio.CancelScope):
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            if stop.is_set():
+                scope.cancel()
+                return
+            stop.set()
--- /dev/null
+++ b/packages/entry/plantainshed_entry/http_probe.py
@@ -0,0 +1,27 @@
+"""A health check over HTTP."""
+
+from plantainshed_http.client import fetch
+from plantainshed_http.errors import HttpError
+
+from .probing import PROBE_TIMEOUT_S
+from .relay import DRAINING_HEADER, LOAD_HEADER
+from .targets import ProbeNews, TargetState
+
+
+async def probe_over_http(state: TargetState) -> ProbeNews:
+    """Ask a target's health endpoint; a target that fails to answer is unhealthy."""
+    try:
+        head, _ = await fetch(
+            state.target.address,
+            "GET",
+            state.pool.probe_path,
+            timeout_s=PROBE_TIMEOUT_S,
+        )
+    except HttpError:
+        return ProbeNews(healthy=False, draining=False, load=0.0)
+    load = head.header(LOAD_HEADER) or "0"
+    return ProbeNews(
+        healthy=200 <= head.status < 300,
+        draining=head.header(DRAINING_HEADER) is not None,
+        load=float(load) if load.replace(".", "", 1).isdigit() else 0.0,
+    )
--- /dev/null
+++ b/packages/entry/plantainshed_entry/loads.py
@@ -0,0 +1,116 @@
+"""What VMs tell each other of load: demand by home domain, and capacity.
+
+Each VM counts the requests that came to it. A failure domain's VMs exchange
+these counts with their heartbeats; between domains only the domain's sum
+travels, with its summaries.
+"""
+
+import orjson
+import trio
+from attrs import define, field, frozen
+
+from plantainshed_coordination.budgets import DemandMeter
+
+FRESH_S = 10.0
+
+
+@frozen
+class DomainLoad:
+    """Demand that arrives at a failure domain, and what its targets can run.
+
+    Parameters
+    ----------
+    capacity : dict of str to float
+        Requests a second, by pool.
+    arrivals : dict of str to dict of str to float
+        Requests a second, by pool and home domain of the callers.
+    """
+
+    capacity: dict[str, float] = field(factory=dict)
+    arrivals: dict[str, dict[str, float]] = field(factory=dict)
+
+    def to_bytes(self) -> bytes:
+        """Return the load as compact JSON."""
+        rounded = {
+            pool: {home: round(rate, 1) for home, rate in homes.items()}
+            for pool, homes in self.arrivals.items()
+        }
+        capacity = {pool: round(rate, 1) for pool, rate in self.capacity.items()}
+        return orjson.dumps([capacity, rounded])
+
+    @classmethod
+    def from_bytes(cls, data: bytes) -> "DomainLoad":
+        """Read a load that `to_bytes` wrote."""
+        capacity, arrivals = orjson.loads(data)
+        return cls(capacity, arrivals)
+
+
+@define
+class _Heard:
+    load: DomainLoad
+    at: float
+
+
+class LoadBoard:
+    """The loads of this VM, of its domain's other VMs, and of other domains.
+
+    Parameters
+    ----------
+    failure_domain : str
+        Own failure domain.
+    """
+
+    def __init__(self, failure_domain: str):
+        self.failure_domain = failure_domain
+        self.meters: dict[tuple[str, str], DemandMeter] = {}
+        self.peers: dict[str, _Heard] = {}
+        self.domains: dict[str, _Heard] = {}
+
+    def count_arrival(self, pool: str, home_domain: str):
+        """Count a request that came to this VM."""
+        key = (pool, home_domain or self.failure_domain)
+        meter = self.meters.get(key)
+        if meter is None:
+            meter = self.meters[key] = DemandMeter()
+        meter.add(1)
+
+    def own_load(self, capacity: dict[str, float]) -> DomainLoad:
+        """Return this VM's arrivals, with the capacity that it sees."""
+        arrivals: dict[str, dict[str, float]] = {}
+        for (pool, home), meter in self.meters.items():
+            rate = meter.read()
+            if rate > 0.05:
+                arrivals.setdefault(pool, {})[home] = rate
+        return DomainLoad(capacity, arrivals)
+
+    def domain_load(self, capacity: dict[str, float]) -> DomainLoad:
+        """Return the sum over this failure domain's VMs."""
+        now = trio.current_time()
+        loads = [self.own_load(capacity)]
+        loads += [h.load for h in self.peers.values() if now - h.at < FRESH_S]
+        arrivals: dict[str, dict[str, float]] = {}
+        for load in loads:
+            _add(arrivals, load.arrivals)
+        return DomainLoad(capacity, arrivals)
+
+    def note_peer(self, vm: str, load: DomainLoad):
+        """Take in what another VM of the own domain says."""
+        self.peers[vm] = _Heard(load, trio.current_time())
+
+    def note_domain(self, failure_domain: str, load: DomainLoad):
+        """Take in what another failure domain says."""
+        self.domains[failure_domain] = _Heard(load, trio.current_time())
+
+    def all_domains(self, capacity: dict[str, float]) -> dict[str, DomainLoad]:
+        """Return the loads of all domains that were heard lately."""
+        now = trio.current_time()
+        loads = {n: h.load for n, h in self.domains.items() if now - h.at < FRESH_S}
+        loads[self.failure_domain] = self.domain_load(capacity)
+        return loads
+
+
+def _add(total, arrivals):
+    for pool, homes in arrivals.items():
+        into = total.setdefault(pool, {})
+        for home, rate in homes.items():
+            into[home] = into.get(home, 0.0) + rate
--- /dev/null
+++ b/packages/entry/plantainshed_entry/node.py
@@ -0,0 +1,281 @@
+"""One VM's part of the system, without sockets: all parts, joined.
+
+The daemon puts a node on real sockets; replays put several on a network in
+memory. Both serve callers through `Node.serve`.
+"""
+
+import contextlib
+
+import trio
+
+from plantainshed_coordination.errors import PlatformError
+from plantainshed_coordination.follower import DocumentFollower
+from plantainshed_coordination.holdings import Holdings
+from plantainshed_coordination.ledger import domain_shard, fleet_shards
+from plantainshed_coordination.lending import Lending
+from plantainshed_coordination.members import MemberState
+from plantainshed_coordination.membership import Membership, SeedMember
+from plantainshed_coordination.network import PeerNetwork
+from plantainshed_coordination.operations import OperationBook
+from plantainshed_coordination.peer_pb2 import MemberRecord
+from plantainshed_coordination.rebalancer import DemandReporter, Rebalancer
+from plantainshed_coordination.rumors import RumorBook
+from plantainshed_coordination.versioned import DocumentStore, Revision
+
+from .admission import KEY_WITHDRAWN_TOPIC, Admission
+from .attempts import Attempts, Relay
+from .context import Context
+from .domain_news import DomainNews
+from .in_force import budget_specs, nothing_in_force, put_in_force
+from .loads import DomainLoad, LoadBoard
+from .lookup import TTL_S, Lookup
+from .poison import PoisonBook
+from .probing import Probe, Probing
+from .routing import Routing
+from .serving import Serving
+from .steering import Steering
+from .targets import TargetTable
+
+UPKEEP_S = 1.0
+LEAVE_NOTICE_S = TTL_S + 1.0
+DRAIN_POLL_S = 0.05
+
+
+class Node:
+    """All parts of one VM.
+
+    Parameters
+    ----------
+    context : Context
+    relay : callable
+        Runs one attempt at a target.
+    probe : callable
+        Checks one target's health.
+    """
+
+    def __init__(self, context: Context, relay: Relay, probe: Probe):
+        settings = context.settings
+        self.context = context
+        self.log = context.log
+        self.in_force = nothing_in_force()
+        self.network = PeerNetwork(context.identity, context.transport)
+        self.membership = Membership(
+            context.identity,
+            self.network,
+            context.platform,
+            [SeedMember(s.vm, s.failure_domain, s.peer) for s in settings.seeds],
+            _first_record(context),
+        )
+        self.rumors = RumorBook(self.network, self.membership)
+        self.holdings = Holdings(self.network, self.membership.is_awake)
+        self.lending = Lending(self.network, self.membership, self.holdings)
+        shards = [*fleet_shards(), domain_shard(settings.failure_domain)]
+        self.rebalancers = {shard: self._rebalancer(shard) for shard in shards}
+        self.reporter = DemandReporter(
+            self.network, self.membership, self.holdings, self.rebalancers
+        )
+        self.operations = OperationBook(self.network, self.membership)
+        self.targets = TargetTable(self.holdings)
+        self.loads = LoadBoard(settings.failure_domain)
+        self.steering = Steering(self.membership, self.targets, self.loads)
+        self.lookup = Lookup(self.membership, self.steering)
+        self.routing = Routing(self.membership, self.lending, self.targets)
+        self.admission = Admission(self.rumors, self.lending, context.metrics)
+        self.poison = PoisonBook(self.rumors)
+        self.attempts = Attempts(
+            self.routing, self.targets, self.poison, context.metrics, relay
+        )
+        self.serving = Serving(
+            context,
+            self.membership,
+            self.admission,
+            self.attempts,
+            self.operations,
+            self.loads,
+            self.lookup,
+        )
+        self.probing = Probing(self.membership, self.targets, probe)
+        self.follower = DocumentFollower(
+            DocumentStore(context.platform),
+            context.bulk,
+            self.membership,
+            self._put_in_force,
+        )
+        self._join_parts()
+        self._share_in_force()
+
+    def _rebalancer(self, shard: str) -> Rebalancer:
+        return Rebalancer(
+            shard,
+            self.context.platform,
+            self.network,
+            self.membership,
+            self.holdings,
+        )
+
+    def _join_parts(self):
+        self.holdings.choose_from_group = self.routing.choose_to_lend
+        self.membership.extra_of_heartbeat = self._news_for_domain
+        self.membership.on_heartbeat_extra = self._take_domain_news
+        self.membership.extra_of_summary = self._load_for_domains
+        self.membership.on_summary_extra = self._take_domain_load
+        self.rumors.listeners[KEY_WITHDRAWN_TOPIC] = self._on_key_withdrawn
+
+    async def run(self):
+        """Run all parts until cancelled."""
+        async with trio.open_nursery() as nursery:
+            for part in (
+                self.network,
+                self.membership,
+                self.rumors,
+                self.lending,
+                self.reporter,
+                self.operations,
+                self.follower,
+                self.probing,
+                self.routing,
+                self.steering,
+            ):
+                nursery.start_soon(part.run)
+            for shard, rebalancer in self.rebalancers.items():
+                nursery.start_soon(rebalancer.run, self._candidates_of(shard))
+            nursery.start_soon(self._become_ready)
+            nursery.start_soon(self._upkeep)
+
+    def _candidates_of(self, shard: str):
+        own = self.context.settings.failure_domain
+        if shard == domain_shard(own):
+            return lambda: self.membership.live_in_domain(own)
+        return self.membership.usable_vms
+
+    async def _become_ready(self):
+        await self.follower.installed.wait()
+        self.steering.make_plans()
+        self.membership.update_record(state=MemberState.READY)
+        self.log.info("ready", extra={"document_version": self.version})
+
+    async def _upkeep(self):
+        while True:
+            await trio.sleep(UPKEEP_S)
+            self.holdings.end_loans_to_gone(self.membership.table.is_gone)
+            self.lookup.forget()
+            self._note_outside()
+
+    # Questions.
+
+    @property
+    def version(self) -> int:
+        """Version of the document in force, 0 before the first."""
+        return self.in_force.revision.version
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether this VM takes callers."""
+        return (
+            self.membership.record.state == MemberState.READY
+            and self.membership.is_awake()
+        )
+
+    # The document.
+
+    def _put_in_force(self, revision: Revision, segments: dict[str, bytes]):
+        self.in_force = put_in_force(revision, segments, self.in_force)
+        self._share_in_force()
+        self.log.info(
+            "document in force",
+            extra={"document_version": revision.version, "change": revision.change_id},
+        )
+
+    def _share_in_force(self):
+        in_force = self.in_force
+        domain = self.context.settings.failure_domain
+        self.holdings.set_specs(budget_specs(in_force.document, domain))
+        for part in (
+            self.admission,
+            self.routing,
+            self.steering,
+            self.lookup,
+            self.serving,
+        ):
+            part.in_force = in_force
+        self.targets.take_document(in_force)
+        self.lookup.forget()
+        for key in in_force.document.keys:
+            if key.withdrawn:
+                self.serving.cancel_key(key.key_id)
+
+    def withdraw_key(self, key_id: str):
+        """Stop a key here and begin to stop it everywhere."""
+        self.rumors.begin(KEY_WITHDRAWN_TOPIC, key_id)
+
+    def _on_key_withdrawn(self, key_id: str, rumor):
+        cut = self.serving.cancel_key(key_id)
+        self.log.info("key withdrawn", extra={"key_id": key_id, "cut": cut})
+
+    # News for other VMs, and from them.
+
+    def _news_for_domain(self) -> bytes:
+        load = self.loads.own_load({})
+        silence_s = trio.current_time() - self.admission.outside_heard_at
+        return DomainNews(load, self.probing.found, max(0.0, silence_s)).to_bytes()
+
+    def _take_domain_news(self, vm: str, data: bytes):
+        if not data:
+            return
+        news = DomainNews.from_bytes(data)
+        self.loads.note_peer(vm, news.load)
+        for name, found in news.probes.items():
+            self.targets.note_probe(name, found)
+        self._heard_outside(trio.current_time() - news.outside_silence_s)
+
+    def _load_for_domains(self) -> bytes:
+        return self.loads.domain_load(self.steering.own_capacity()).to_bytes()
+
+    def _take_domain_load(self, failure_domain: str, data: bytes):
+        if data and failure_domain != self.context.settings.failure_domain:
+            self.loads.note_domain(failure_domain, DomainLoad.from_bytes(data))
+
+    def _note_outside(self):
+        heard = self.membership.table.domain_heard_at.values()
+        self._heard_outside(max(heard, default=0.0))
+        self._heard_outside(self.follower.store_heard_at)
+
+    def _heard_outside(self, at: float):
+        self.admission.outside_heard_at = max(self.admission.outside_heard_at, at)
+
+    # Stopping.
+
+    async def leave(self, timeout_s: float):
+        """Stop without cutting a request: steer callers away, end what runs.
+
+        Callers keep an answered look-up for its time to live. A VM that closed
+        before that was over would cost each of them a failed connection.
+        Ends when nothing is left to do, or after `timeout_s`.
+        """
+        self.log.info("leaving", extra={"in_flight": self.serving.in_flight})
+        self.membership.update_record(state=MemberState.LEAVING)
+        with trio.move_on_after(timeout_s):
+            await trio.sleep(LEAVE_NOTICE_S)
+            while self.serving.in_flight:
+                await trio.sleep(DRAIN_POLL_S)
+            self.holdings.leave()
+            await self.reporter.report_all()
+            for rebalancer in self.rebalancers.values():
+                with contextlib.suppress(PlatformError):
+                    await rebalancer.lease.give_back()
+            await self.membership.announce_leaving()
+
+
+def _first_record(context: Context) -> MemberRecord:
+    settings = context.settings
+    return MemberRecord(
+        vm=settings.vm,
+        failure_domain=settings.failure_domain,
+        incarnation=context.identity.incarnation,
+        revision=1,
+        state=MemberState.JOINING,
+        listen=settings.listen,
+        peer=settings.peer,
+        control=settings.control,
+        operation_epoch=1,
+    )
--- /dev/null
+++ b/packages/entry/plantainshed_entry/plan.py
@@ -0,0 +1,167 @@
+"""Where each home domain's callers are sent: the plan, worked out alike by all.
+
+The plan depends only on what all VMs learn: the document, capacities, and
+demand by home domain. Demand is counted by where callers come from, not where
+they were sent, so a plan does not feed on its own effects: what was promised
+stays counted at its home until the callers themselves change.
+"""
+
+from collections.abc import Mapping
+
+from attrs import define, field, frozen
+
+HEADROOM = 0.9
+CAP_MARGIN = 0.9
+RETURN_STEP = 0.1
+LINK_SHARE = 0.5
+EPSILON = 1e-9
+
+
+@frozen
+class Place:
+    """A failure domain as the plan sees it.
+
+    Parameters
+    ----------
+    name, region : str
+    capacity : float
+        Requests a second that its targets can run; 0 when it takes none.
+    demand : float
+        Requests a second of callers that are near it.
+    """
+
+    name: str
+    region: str
+    capacity: float
+    demand: float
+
+
+@frozen
+class PlannedShift:
+    """A shift that is running, as the plan sees it."""
+
+    from_region: str
+    to_region: str
+    cap: float
+
+
+Shares = dict[str, dict[str, float]]
+
+
+@define
+class _Room:
+    """Capacity that is not promised yet, by place."""
+
+    left: dict[str, float] = field(factory=dict)
+
+    def take(self, place: str, wanted: float) -> float:
+        """Promise up to so much; return how much."""
+        taken = min(wanted, max(0.0, self.left.get(place, 0.0)))
+        self.left[place] = self.left.get(place, 0.0) - taken
+        return taken
+
+
+def plan_pool(
+    places: Mapping[str, Place],
+    shifts: list[PlannedShift],
+    link_rate: Mapping[tuple[str, str], float],
+) -> Shares:
+    """Return, by home domain, the share of callers sent to each domain.
+
+    What nobody has room for stays at home, to be refused there.
+
+    Parameters
+    ----------
+    places : mapping of str to Place
+    shifts : list of PlannedShift
+    link_rate : mapping of (str, str) to float
+        Requests a second that the link between two regions may carry.
+    """
+    room = _Room({name: p.capacity * HEADROOM for name, p in places.items()})
+    links = _Room({pair: rate * LINK_SHARE for pair, rate in link_rate.items()})
+    rates: Shares = {name: {} for name in places}
+    left = {name: place.demand for name, place in places.items()}
+    _move_by_shifts(places, shifts, room, links, rates, left)
+    for name in sorted(places):
+        _give(rates, left, name, name, room.take(name, left[name]))
+    for name in sorted(places):
+        for other in _others_by_distance(places, name):
+            if left[name] <= EPSILON:
+                break
+            _give_over_link(places, room, links, rates, left, name, other)
+    return {name: _shares(places[name], rates[name]) for name in places}
+
+
+def _move_by_shifts(places, shifts, room, links, rates, left):
+    for shift in shifts:
+        sources = [p for p in places.values() if p.region == shift.from_region]
+        goals = [p for p in places.values() if p.region == shift.to_region]
+        demand = sum(place.demand for place in sources)
+        capacity = sum(place.capacity for place in goals)
+        if demand <= 0 or capacity <= 0:
+            continue
+        moved = min(shift.cap * CAP_MARGIN, demand)
+        for source in sources:
+            for goal in goals:
+                rate = moved * source.demand / demand * goal.capacity / capacity
+                given = links.take(_pair(source, goal), rate)
+                given = room.take(goal.name, given)
+                _give(rates, left, source.name, goal.name, given)
+
+
+def _give_over_link(places, room, links, rates, left, name, other):
+    here, there = places[name], places[other]
+    wanted = min(left[name], max(0.0, room.left[other]))
+    if here.region != there.region:
+        wanted = links.take(_pair(here, there), wanted)
+    _give(rates, left, name, other, room.take(other, wanted))
+
+
+def _give(rates, left, name, other, rate):
+    if rate > EPSILON:
+        rates[name][other] = rates[name].get(other, 0.0) + rate
+        left[name] -= rate
+
+
+def _others_by_distance(places, name) -> list[str]:
+    """Return other domains, those of the same region first, roomiest first."""
+    region = places[name].region
+    others = [place for place in places.values() if place.name != name]
+    order = sorted(others, key=lambda p: (p.region != region, -p.capacity, p.name))
+    return [place.name for place in order]
+
+
+def _pair(here: Place, there: Place) -> tuple[str, str]:
+    first, second = sorted((here.region, there.region))
+    return first, second
+
+
+def _shares(place: Place, rates: dict[str, float]) -> dict[str, float]:
+    if place.demand <= EPSILON:
+        return {place.name: 1.0}
+    shares = {name: rate / place.demand for name, rate in rates.items()}
+    rest = 1.0 - sum(shares.values())
+    if rest > EPSILON:
+        shares[place.name] = shares.get(place.name, 0.0) + rest
+    return shares
+
+
+def approach(before: dict[str, float], goal: dict[str, float], home: str):
+    """Return shares on the way from one plan to the next.
+
+    What leaves home does so at once: it is needed elsewhere. What comes back
+    is taken in a step at a time, since caches there are cold and the
+    measurement of what arrives lags behind.
+    """
+    if not before:
+        return goal
+    step = goal.get(home, 0.0) - before.get(home, 0.0)
+    if step <= RETURN_STEP:
+        return goal
+    weight = RETURN_STEP / step
+    names = before.keys() | goal.keys()
+    mixed = {
+        name: before.get(name, 0.0) * (1 - weight) + goal.get(name, 0.0) * weight
+        for name in names
+    }
+    return {name: share for name, share in mixed.items() if share > EPSILON}
--- /dev/null
+++ b/packages/entry/plantainshed_entry/serving.py
@@ -0,0 +1,378 @@
+"""A caller's request from its head to its answer.
+
+`Serving.serve` reads like the story: whose is it, may it run, has it run
+before, which target answers it, and what the caller is told if none does.
+"""
+
+import secrets
+
+import orjson
+import trio
+from attrs import frozen
+
+from plantainshed_coordination.membership import Membership
+from plantainshed_coordination.operations import (
+    BadOperationId,
+    OperationBook,
+    OperationId,
+    Verdict,
+)
+from plantainshed_http.messages import RequestHead
+from plantainshed_http.server import Exchange
+from plantainshed_model.document import Pool
+
+from .admission import Admission
+from .attempts import Attempts
+from .call import Call
+from .context import Context
+from .errors import Refusal
+from .in_force import InForce
+from .loads import LoadBoard
+from .lookup import Lookup
+from .poison import fingerprint
+from .reasons import STATUS, Outcome, Reason
+from .relay import DEADLINE_HEADER
+
+OPERATION_HEADER = b"operation-id"
+OUTCOME_HEADER = b"plantainshed-outcome"
+REASON_HEADER = b"plantainshed-reason"
+REPEAT_HEADER = b"plantainshed-repeat"
+BUFFERED_BODY_BYTES = 64 * 1024
+MAX_TIMEOUT_MS = 3_600_000
+REQUEST_ID_BYTES = 8
+IN_PROGRESS_RETRY_AFTER_S = 1.0
+
+
+class Serving:
+    """Serves callers' requests on this VM.
+
+    Attributes
+    ----------
+    in_force : InForce
+    calls : dict of str to Call
+        Requests that are running or waiting here, by request id.
+    """
+
+    def __init__(
+        self,
+        context: Context,
+        membership: Membership,
+        admission: Admission,
+        attempts: Attempts,
+        operations: OperationBook,
+        loads: LoadBoard,
+        lookup: Lookup,
+    ):
+        self.log = context.log
+        self.metrics = context.metrics
+        self.membership = membership
+        self.admission = admission
+        self.attempts = attempts
+        self.operations = operations
+        self.loads = loads
+        self.lookup = lookup
+        self.in_force: InForce | None = None
+        self.calls: dict[str, Call] = {}
+
+    @property
+    def in_flight(self) -> int:
+        """Number of requests that are running or waiting here."""
+        return len(self.calls)
+
+    async def serve(self, exchange: Exchange):
+        """Answer one request, by a target or by a refusal."""
+        call = None
+        try:
+            self._require_awake()
+            call = await self._read_call(exchange)
+            with self._registered(call):
+                await self._run_within_deadline(call)
+        except Refusal as refusal:
+            await self._refuse(exchange, call, refusal)
+
+    def _require_awake(self):
+        # A process that was paused would go on with parts of limits and with
+        # keys as it knew them; see `Membership.is_awake`.
+        if not self.membership.is_awake():
+            raise Refusal(
+                Reason.NOT_READY,
+                "this VM was paused and is finding out what it missed",
+                retry_after_s=1.0,
+            )
+
+    async def _read_call(self, exchange: Exchange) -> Call:
+        head = exchange.request
+        pool = self.in_force.pool_for(head.target)
+        if pool is None:
+            raise Refusal(Reason.UNKNOWN_PATH, f"no pool serves {head.target}")
+        admitted = self.admission.identify(head)
+        call = Call(
+            request_id=secrets.token_hex(REQUEST_ID_BYTES),
+            method=head.method,
+            path=head.target,
+            workspace=admitted.workspace.name,
+            key_id=admitted.key_id,
+            pool=pool,
+            home_domain=self.lookup.home_of(exchange.caller)[0],
+            deadline=trio.current_time() + _timeout_s(head, pool),
+            operation=_operation_of(head),
+            exchange=exchange,
+        )
+        self.loads.count_arrival(pool.name, call.home_domain)
+        await self.admission.spend_rate(admitted.workspace)
+        if _is_small(head):
+            call.body = await exchange.read_body(BUFFERED_BODY_BYTES)
+        call.fingerprint = fingerprint(
+            call.workspace, call.method, call.path, call.body
+        )
+        return call
+
+    def _registered(self, call: Call):
+        return _Registered(self.calls, call)
+
+    async def _run_within_deadline(self, call: Call):
+        call.cancel_scope = trio.CancelScope(deadline=call.deadline)
+        with call.cancel_scope:
+            if self.admission.is_withdrawn(call.key_id):
+                # Withdrawn while the request waited for its rate.
+                call.cancel_scope.cancel()
+            if call.body is None:
+                await self._run_once(call)
+            else:
+                async with call.exchange.cancelled_when_caller_leaves():
+                    await self._run_once(call)
+            return
+        self._explain_cancel(call)
+
+    def _explain_cancel(self, call: Call):
+        """Raise the refusal for a request whose scope was cancelled."""
+        outcome = Outcome.UNKNOWN if call.attempts else Outcome.NOT_RUN
+        # A withdrawal cuts requests that run or wait under the key.
+        if self.admission.is_withdrawn(call.key_id):
+            raise Refusal(
+                Reason.KEY_WITHDRAWN, f"the key {call.key_id} was withdrawn", outcome
+            )
+        raise Refusal(Reason.DEADLINE, "the deadline has passed", outcome)
+
+    async def _run_once(self, call: Call):
+        """Run a request, an operation at most once."""
+        if call.operation is None or call.is_idempotent:
+            await self._run(call)
+            return
+        claim = await self.operations.claim(call.operation)
+        if claim.verdict is not Verdict.RUN:
+            await self._answer_repeat(call, claim)
+            return
+        await self._run_claimed(call)
+
+    async def _run_claimed(self, call: Call):
+        recorder = AnswerRecorder(call.exchange)
+        call.exchange = recorder
+        ended = False
+        try:
+            await self._run(call)
+            ended = True
+        except Refusal as refusal:
+            if refusal.outcome is Outcome.NOT_RUN:
+                ended = True
+                with trio.CancelScope(shield=True):
+                    await self.operations.release(call.operation)
+            raise
+        finally:
+            with trio.CancelScope(shield=True):
+                if ended and recorder.status:
+                    await self.operations.finish(call.operation, recorder.to_bytes())
+                elif not ended:
+                    # Whether it ran is not known. It stays claimed, so that a
+                    # repeat is told so and does not run it again.
+                    await self.operations.finish(call.operation, None)
+
+    async def _run(self, call: Call):
+        await self.attempts.run(call)
+        seconds = trio.current_time() - call.began_at
+        self.metrics.count_answer(call.workspace, seconds)
+
+    async def _answer_repeat(self, call: Call, claim):
+        if claim.verdict is Verdict.DONE and claim.answer:
+            recorded = RecordedAnswer.from_bytes(claim.answer)
+            headers = [*recorded.headers, (REPEAT_HEADER, b"1")]
+            await call.exchange.reply(recorded.status, headers, recorded.body)
+            return
+        if claim.verdict is Verdict.IN_PROGRESS:
+            raise Refusal(
+                Reason.OPERATION_IN_PROGRESS,
+                f"operation {call.operation} is running; ask for it again",
+                Outcome.UNKNOWN,
+                IN_PROGRESS_RETRY_AFTER_S,
+            )
+        raise Refusal(
+            Reason.OPERATION_UNKNOWN,
+            f"operation {call.operation} was begun, or can have been, and what "
+            "became of it is not known here; it was not run again",
+            Outcome.UNKNOWN,
+        )
+
+    def cancel_key(self, key_id: str) -> int:
+        """Cut what runs or waits under a withdrawn key; return how many."""
+        cut = 0
+        for call in list(self.calls.values()):
+            if call.key_id == key_id and call.cancel_scope is not None:
+                call.cancel_scope.cancel()
+                cut += 1
+        return cut
+
+    async def _refuse(self, exchange: Exchange, call: Call | None, refusal: Refusal):
+        workspace = call.workspace if call else ""
+        self.metrics.count_refusal(refusal.reason, refusal.outcome, workspace)
+        self.log.info(
+            "refused",
+            extra={
+                "reason": refusal.reason,
+                "outcome": refusal.outcome,
+                "workspace": workspace,
+                "request_id": call.request_id if call else "",
+                "path": exchange.request.target,
+            },
+        )
+        if exchange.started:
+            # Part of an answer has gone out; only breaking off shows the
+            # caller that the rest is missing.
+            raise trio.BrokenResourceError
+        await exchange.reply(
+            STATUS[refusal.reason], _refusal_headers(refusal), _refusal_body(refusal)
+        )
+
+
+class _Registered:
+    """Keeps a call in the table of calls for the length of a block."""
+
+    def __init__(self, calls: dict[str, Call], call: Call):
+        self.calls = calls
+        self.call = call
+
+    def __enter__(self):
+        self.calls[self.call.request_id] = self.call
+
+    def __exit__(self, *exc_info):
+        del self.calls[self.call.request_id]
+
+
+@frozen
+class RecordedAnswer:
+    """An answer kept for repeats of an operation."""
+
+    status: int
+    headers: list
+    body: bytes
+
+    def to_bytes(self) -> bytes:
+        """Return the answer as bytes."""
+        headers = [[n.decode("latin-1"), v.decode("latin-1")] for n, v in self.headers]
+        return orjson.dumps([self.status, headers]) + b"\n" + self.body
+
+    @classmethod
+    def from_bytes(cls, data: bytes) -> "RecordedAnswer":
+        """Read an answer that `to_bytes` wrote."""
+        head, _, body = data.partition(b"\n")
+        status, headers = orjson.loads(head)
+        pairs = [(n.encode("latin-1"), v.encode("latin-1")) for n, v in headers]
+        return cls(status, pairs, body)
+
+
+class AnswerRecorder:
+    """Passes an answer on to the caller and keeps a copy, if it is small."""
+
+    def __init__(self, exchange: Exchange):
+        self.exchange = exchange
+        self.request = exchange.request
+        self.caller = exchange.caller
+        self.status = 0
+        self.headers = []
+        self.parts: list[bytes] = []
+        self.size = 0
+
+    @property
+    def started(self) -> bool:
+        """Whether the caller has been sent anything."""
+        return self.exchange.started
+
+    def body(self):
+        """Return the request's body as it arrives."""
+        return self.exchange.body()
+
+    async def start(self, status: int, headers):
+        """Send the head of an answer."""
+        self.status = status
+        framing = (b"content-length", b"transfer-encoding")
+        self.headers = [pair for pair in headers if pair[0] not in framing]
+        await self.exchange.start(status, headers)
+
+    async def send(self, chunk: bytes):
+        """Send a piece of the answer."""
+        self.size += len(chunk)
+        if self.size <= BUFFERED_BODY_BYTES:
+            self.parts.append(chunk)
+        await self.exchange.send(chunk)
+
+    async def finish(self):
+        """End the answer."""
+        await self.exchange.finish()
+
+    def to_bytes(self) -> bytes | None:
+        """Return the answer for the book of operations; None if too large."""
+        if self.size > BUFFERED_BODY_BYTES:
+            return None
+        body = b"".join(self.parts)
+        return RecordedAnswer(self.status, self.headers, body).to_bytes()
+
+
+def _timeout_s(head: RequestHead, pool: Pool) -> float:
+    text = head.header(DEADLINE_HEADER)
+    if text is None:
+        return pool.timeout_s
+    if not text.isdigit() or not 0 < int(text) <= MAX_TIMEOUT_MS:
+        raise Refusal(
+            Reason.BAD_REQUEST,
+            f"request-timeout-ms: {text!r} must be 1 to {MAX_TIMEOUT_MS} milliseconds",
+        )
+    return min(pool.timeout_s, int(text) / 1000)
+
+
+def _operation_of(head: RequestHead) -> OperationId | None:
+    text = head.header(OPERATION_HEADER)
+    if text is None:
+        return None
+    try:
+        return OperationId.parse(text)
+    except BadOperationId as error:
+        raise Refusal(Reason.BAD_REQUEST, f"operation-id: {error}") from error
+
+
+def _is_small(head: RequestHead) -> bool:
+    length = head.header(b"content-length")
+    if length is not None:
+        return int(length) <= BUFFERED_BODY_BYTES
+    return head.header(b"transfer-encoding") is None
+
+
+def _refusal_headers(refusal: Refusal):
+    headers = [
+        (b"content-type", b"application/json"),
+        (REASON_HEADER, refusal.reason.encode()),
+        (OUTCOME_HEADER, refusal.outcome.encode()),
+    ]
+    if refusal.retry_after_s is not None:
+        seconds = max(1, round(refusal.retry_after_s))
+        headers.append((b"retry-after", str(seconds).encode()))
+    return headers
+
+
+def _refusal_body(refusal: Refusal) -> bytes:
+    return orjson.dumps(
+        {
+            "reason": refusal.reason,
+            "outcome": refusal.outcome,
+            "message": refusal.message,
+            "retry_after_s": refusal.retry_after_s,
+        }
+    )
--- /dev/null
+++ b/packages/entry/plantainshed_entry/targets.py
@@ -0,0 +1,285 @@
+"""What this VM knows of targets: health, load, leaving, warming up.
+
+What real requests meet outranks what a probe says, and "leaving" outranks
+"healthy". Ejection keeps a floor: a false alarm never empties a pool.
+"""
+
+import random
+
+import trio
+from attrs import define, field, frozen
+
+from plantainshed_coordination.budgets import CountPart
+from plantainshed_coordination.holdings import Holdings
+from plantainshed_model.document import Drain, DrainKind, Pool, Target
+
+from .in_force import SLOTS_PREFIX, InForce
+
+FAILURES_TO_EJECT = 3
+EJECT_S = 5.0
+EJECT_MAX_S = 60.0
+SUCCESS_COUNTS_S = 5.0
+NEWS_FRESH_S = 8.0
+MOST_EJECTED = 0.5
+RAMP_START = 0.1
+SERVICE_TIME_WEIGHT = 0.05
+
+
+@frozen
+class ProbeNews:
+    """What a prober says of a target.
+
+    Parameters
+    ----------
+    healthy, draining : bool
+    load : float
+        Requests that the target says it is running.
+    """
+
+    healthy: bool
+    draining: bool
+    load: float
+
+
+@define
+class TargetState:
+    """One target as this VM sees it.
+
+    Attributes
+    ----------
+    failures : int
+        Requests in a row that found the target broken.
+    ejected_until, ejections
+        When it may be tried again, and how often it was ejected lately.
+    warm_since : float
+        When its ramp began.
+    """
+
+    target: Target
+    pool: Pool
+    part: CountPart | None = None
+    failures: int = 0
+    ejected_until: float = 0.0
+    ejections: int = 0
+    success_at: float = -SUCCESS_COUNTS_S
+    probe: ProbeNews | None = None
+    probe_at: float = 0.0
+    draining_at: float = -NEWS_FRESH_S
+    warm_since: float = field(factory=trio.current_time)
+    own_in_flight: int = 0
+    marked_in_flight: int = 0
+
+    @property
+    def is_ejected(self) -> bool:
+        """Whether it is out for a while."""
+        return self.ejected_until > trio.current_time()
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether it said lately that it is draining."""
+        return trio.current_time() - self.draining_at < NEWS_FRESH_S
+
+    @property
+    def seems_healthy(self) -> bool:
+        """Whether probes, or better evidence, speak for it."""
+        now = trio.current_time()
+        if now - self.success_at < SUCCESS_COUNTS_S:
+            # Its health endpoint may mislead; requests that succeed do not.
+            return True
+        if self.probe is None or now - self.probe_at > NEWS_FRESH_S:
+            return True
+        return self.probe.healthy
+
+    @property
+    def warmth(self) -> float:
+        """How much of its slots may be used while it warms up, up to 1."""
+        if self.pool.ramp_s <= 0:
+            return 1.0
+        elapsed = trio.current_time() - self.warm_since
+        return min(1.0, RAMP_START + elapsed / self.pool.ramp_s)
+
+    @property
+    def load(self) -> float:
+        """Requests in it for each slot: own ones, or what it says, if more."""
+        reported = 0.0
+        if self.probe is not None:
+            age = trio.current_time() - self.probe_at
+            reported = self.probe.load * max(0.0, 1.0 - age / NEWS_FRESH_S)
+        return max(float(self.own_in_flight), reported) / self.pool.slots
+
+    def note_success(self):
+        """Note that a request was answered."""
+        self.failures = 0
+        self.success_at = trio.current_time()
+        if not self.is_ejected:
+            self.ejections = 0
+
+    def restart_ramp(self):
+        """Begin to warm up; a target that comes back has a cold cache."""
+        self.warm_since = trio.current_time()
+
+
+class TargetTable:
+    """All targets of the document in force.
+
+    Parameters
+    ----------
+    holdings : Holdings
+        Where this VM's parts of slots are.
+
+    Attributes
+    ----------
+    states : dict of str to TargetState
+    service_time : dict of str to float
+        Measured seconds in a slot, by pool.
+    """
+
+    def __init__(self, holdings: Holdings):
+        self.holdings = holdings
+        self.states: dict[str, TargetState] = {}
+        self.service_time: dict[str, float] = {}
+        self.drained: set[str] = set()
+        self.random = random.Random(1)
+        self._by_pool: dict[str, list[TargetState]] = {}
+        self._is_first = True
+
+    def take_document(self, in_force: InForce):
+        """Take over the targets of a document that came into force."""
+        document = in_force.document
+        states = {}
+        for target in document.targets:
+            pool = in_force.pools[target.pool]
+            state = self.states.get(target.name)
+            if state is None or state.target.address != target.address:
+                state = TargetState(target, pool)
+                if self._is_first:
+                    # A VM that has just started knows nothing of how warm the
+                    # targets are; it is the VM that is new, not all of them.
+                    state.warm_since -= pool.ramp_s
+            state.target, state.pool = target, pool
+            state.part = self.holdings.parts.get(SLOTS_PREFIX + target.name)
+            states[target.name] = state
+        self.states = states
+        self._is_first = False
+        self._by_pool = {}
+        for state in states.values():
+            self._by_pool.setdefault(state.pool.name, []).append(state)
+        self._take_drains(document.drains)
+
+    def _take_drains(self, drains: tuple[Drain, ...]):
+        names = {drain.name for drain in drains if drain.kind is DrainKind.TARGET}
+        domains = {d.name for d in drains if d.kind is DrainKind.FAILURE_DOMAIN}
+        drained = {
+            name
+            for name, state in self.states.items()
+            if name in names or state.target.failure_domain in domains
+        }
+        for name in self.drained - drained:
+            if name in self.states:
+                self.states[name].restart_ramp()
+        self.drained = drained
+
+    def of_pool(self, pool: str) -> list[TargetState]:
+        """Return all targets of a pool."""
+        return self._by_pool.get(pool, [])
+
+    def usable(self, pool: str, failure_domain: str) -> list[TargetState]:
+        """Return the targets that may get new work, in one failure domain.
+
+        When more than half of those that are not leaving seem broken, the
+        alarm is more likely false than all of them dead: all stay in use.
+        """
+        staying = [
+            state
+            for state in self.of_pool(pool)
+            if state.target.failure_domain == failure_domain
+            and state.target.name not in self.drained
+            and not state.is_leaving
+        ]
+        sound = [s for s in staying if s.seems_healthy and not s.is_ejected]
+        if len(sound) < len(staying) * MOST_EJECTED:
+            return staying
+        return sound
+
+    def take_slot(
+        self, pool: str, failure_domain: str, excluded=frozenset(), alone: bool = False
+    ) -> TargetState | None:
+        """Take a slot of the least loaded target that has one, if any has.
+
+        Parameters
+        ----------
+        pool, failure_domain : str
+        excluded : set of str
+            Targets not to use.
+        alone : bool
+            Whether the request is under suspicion of killing targets, and must
+            not share one with another that is.
+        """
+        candidates = [
+            state
+            for state in self.usable(pool, failure_domain)
+            if state.part is not None
+            and state.target.name not in excluded
+            and not (alone and state.marked_in_flight)
+            and self._has_room(state)
+        ]
+        self.random.shuffle(candidates)
+        for state in sorted(candidates, key=lambda state: state.load):
+            if state.part.try_take():
+                return state
+        return None
+
+    def _has_room(self, state: TargetState) -> bool:
+        if state.part.free <= 0:
+            state.part.denied.add(1)
+            return False
+        allowed = max(1.0, state.part.usable * state.warmth)
+        return state.part.in_use + len(state.part.lent) < allowed
+
+    def note_failure(self, name: str) -> bool:
+        """Note that a request found a target broken; return whether it is out."""
+        state = self.states.get(name)
+        if state is None:
+            return False
+        state.failures += 1
+        if state.failures < FAILURES_TO_EJECT or state.is_ejected:
+            return False
+        self.eject(name, min(EJECT_MAX_S, EJECT_S * 2**state.ejections))
+        state.ejections += 1
+        state.failures = 0
+        return True
+
+    def eject(self, name: str, seconds: float):
+        """Keep new work from a target for a while."""
+        state = self.states.get(name)
+        if state is not None:
+            state.ejected_until = trio.current_time() + seconds
+            # It comes back with one slot at first and is warmed up.
+            state.warm_since = state.ejected_until
+
+    def note_probe(self, name: str, news: ProbeNews):
+        """Take in what a prober found."""
+        state = self.states.get(name)
+        if state is None:
+            return
+        now = trio.current_time()
+        came_back = state.probe is not None and not state.probe.healthy
+        if came_back and news.healthy:
+            state.restart_ramp()
+        state.probe, state.probe_at = news, now
+        if news.draining:
+            state.draining_at = now
+
+    def note_service_time(self, pool: str, seconds: float):
+        """Take a measured time in a slot into the pool's average."""
+        known = self.service_time.get(pool, seconds)
+        self.service_time[pool] = known + (seconds - known) * SERVICE_TIME_WEIGHT
+
+    def capacity(self, pool: Pool, failure_domain: str) -> float:
+        """Return the requests a second that a domain's usable targets can run."""
+        seconds = self.service_time.get(pool.name, pool.service_time_s)
+        slots = sum(
+            pool.slots * state.warmth
+            for state in self.usable(pool.name, failure_domain)
+        )
+        return slots / max(seconds, 0.001)
--- a/packages/http/plantainshed_http/errors.py
+++ b/packages/http/plantainshed_http/errors.py
@@ -28,3 +28,7 @@
 
 class ConnectionBroken(HttpError):
     """The other side went away in the middle of an exchange."""
+
+
+class CallerLeft(HttpError):
+    """A server's caller went away before its exchange had ended."""
--- a/packages/http/plantainshed_http/server.py
+++ b/packages/http/plantainshed_http/server.py
@@ -11,7 +11,9 @@
 import trio
 from attrs import define, field
 
-from .errors import BadMessage, ConnectionBroken
+from plantainshed_coordination.nurseries import open_plain_nursery
+
+from .errors import BadMessage, CallerLeft
 from .messages import (
     HEAD_TIMEOUT_S,
     IDLE_TIMEOUT_S,
@@ -133,7 +135,7 @@
         a caller who has long gone. Use it after the body has been read: what
         arrives then is the end of the stream or the start of a next request.
         """
-        async with trio.open_nursery() as nursery:
+        async with open_plain_nursery() as nursery:
             nursery.start_soon(self._connection.watch_for_end, nursery.cancel_scope)
             yield nursery.cancel_scope
             nursery.cancel_scope.cancel()
@@ -151,7 +153,7 @@
     async def run(self):
         try:
             await self._serve_exchanges()
-        except (ConnectionBroken, *SOCKET_ERRORS):
+        except (CallerLeft, *SOCKET_ERRORS):
             pass
         finally:
             await trio.aclose_forcefully(self.stream)
@@ -179,7 +181,7 @@
             await self.handler(exchange)
         except BadMessage as problem:
             if exchange.started:
-                raise ConnectionBroken(problem.reason) from problem
+                raise CallerLeft(problem.reason) from problem
             await self._refuse(problem)
 
     async def _next_request(self) -> RequestHead | None:
@@ -229,7 +231,7 @@
             elif isinstance(event, h11.EndOfMessage) or event is h11.PAUSED:
                 return None
             else:
-                raise ConnectionBroken("the caller left in the middle of the body")
+                raise CallerLeft("the caller left in the middle of the body")
 
     async def watch_for_end(self, scope: trio.CancelScope):
         try:
--- a/packages/model/plantainshed_model/codec.py
+++ b/packages/model/plantainshed_model/codec.py
@@ -1,18 +1,21 @@
 """The document as segments of JSON, and back.
 
 Parts that change together share a segment, so that withdrawing a key does not
-send the client blocks again. Large lists are spread over several segments by
-the hash of an item's name; `SPREAD` says over how many.
+send the client blocks again. Keys and blocks are spread over several segments
+by the hash of their names. Blocks are grouped by failure domain, which takes a
+third of the room, and can be read without making an object of each.
 """
 
 import json
+from collections.abc import Iterator
 
 import cattrs
 import xxhash
+from attrs import evolve
 from cattrs.errors import ClassValidationError, IterableValidationError
 from cattrs.v import transform_error
 
-from .document import Document
+from .document import ClientBlock, Document
 from .errors import Fault, InvalidDocument
 
 SEGMENT_FIELDS = {
@@ -21,8 +24,10 @@
     "pools": ("pools", "targets"),
     "steering": ("shifts", "drains"),
 }
-SPREAD = {"keys": 4, "blocks": 32}
-NAME_FIELD = {"keys": "key_id", "blocks": "cidr"}
+KEY_SHARDS = 4
+BLOCK_SHARDS = 32
+BLOCKS_PREFIX = "blocks-"
+BLOCKS_BY_DOMAIN = "blocks_by_failure_domain"
 
 converter = cattrs.Converter(forbid_extra_keys=True)
 
@@ -69,23 +74,49 @@
     segments = {}
     for segment, names in SEGMENT_FIELDS.items():
         segments[segment] = _dump({name: fields[name] for name in names})
-    for name, count in SPREAD.items():
-        shards = [[] for _ in range(count)]
-        for item in fields[name]:
-            shards[_shard(item[NAME_FIELD[name]], count)].append(item)
-        for index, items in enumerate(shards):
-            if items:
-                segments[f"{name}-{index:02d}"] = _dump({name: items})
+    for index, keys in _shards(fields["keys"], "key_id", KEY_SHARDS):
+        segments[f"keys-{index:02d}"] = _dump({"keys": keys})
+    for index, blocks in _shards(fields["blocks"], "cidr", BLOCK_SHARDS):
+        grouped = {}
+        for block in blocks:
+            grouped.setdefault(block["failure_domain"], []).append(block["cidr"])
+        segments[f"{BLOCKS_PREFIX}{index:02d}"] = _dump({BLOCKS_BY_DOMAIN: grouped})
     return segments
 
 
-def from_segments(segments: dict[str, bytes]) -> Document:
-    """Put a document together from its segments."""
+def from_segments(segments: dict[str, bytes], with_blocks: bool = True) -> Document:
+    """Put a document together from its segments.
+
+    Without its blocks it is what an entry daemon keeps: `read_blocks` gives
+    them one at a time to a compact table instead.
+    """
     fields = {}
     for segment in sorted(segments):
+        if segment.startswith(BLOCKS_PREFIX):
+            continue
         for name, items in json.loads(segments[segment]).items():
             fields.setdefault(name, []).extend(items)
-    return from_fields(fields)
+    document = from_fields(fields)
+    if with_blocks:
+        return evolve(document, blocks=tuple(read_blocks(segments)))
+    return document
+
+
+def read_blocks(segments: dict[str, bytes]) -> Iterator[ClientBlock]:
+    """Yield the client blocks of a document's segments."""
+    for segment in sorted(segments):
+        if segment.startswith(BLOCKS_PREFIX):
+            grouped = json.loads(segments[segment])[BLOCKS_BY_DOMAIN]
+            for failure_domain, cidrs in grouped.items():
+                for cidr in cidrs:
+                    yield ClientBlock(cidr, failure_domain)
+
+
+def _shards(items: list[dict], name_field: str, count: int):
+    shards = [[] for _ in range(count)]
+    for item in items:
+        shards[_shard(item[name_field], count)].append(item)
+    return [(index, items) for index, items in enumerate(shards) if items]
 
 
 def _dump(fields: dict) -> bytes:
--- /dev/null
+++ b/packages/operator/plantainshed/changes.py
@@ -0,0 +1,155 @@
+"""What operators change: the document, and keys on the running fleet."""
+
+import secrets
+from collections.abc import Callable
+from datetime import UTC, datetime
+
+import orjson
+from attrs import frozen
+
+from plantainshed_coordination.errors import (
+    CommitUnconfirmed,
+    PeerError,
+    PlatformError,
+    StaleBase,
+)
+from plantainshed_coordination.versioned import Change, Revision
+from plantainshed_entry.commands import WITHDRAW_KEY
+from plantainshed_model import commands
+from plantainshed_model.checks import require_valid
+from plantainshed_model.codec import to_segments
+from plantainshed_model.document import Document
+from plantainshed_model.keys import IssuedKey, issue_key
+from plantainshed_model.queries import differences
+
+from .context import OperatorContext
+from .errors import EditConflict, Unconfirmed, Unreachable
+from .views import Current, current
+
+Edit = Callable[[Document], Document]
+EDIT_ATTEMPTS = 5
+CHANGE_ID_BYTES = 8
+
+
+@frozen
+class Withdrawal:
+    """How far a withdrawal has come when the command ends.
+
+    Parameters
+    ----------
+    key_id : str
+    told : str
+        Control port of the VM that took it and spreads it; empty if none could
+        be reached.
+    revision : Revision or None
+        The document that records it; None if the store could not be reached.
+    """
+
+    key_id: str
+    told: str
+    revision: Revision | None
+
+
+async def replace(
+    context: OperatorContext,
+    base: Current,
+    document: Document,
+    reason: str,
+    change_id: str = "",
+) -> Revision:
+    """Put a whole new document in place of the one that it was made from.
+
+    Raises
+    ------
+    InvalidDocument
+        With every fault; nothing was changed.
+    EditConflict
+        If somebody else was faster, with what they changed.
+    Unconfirmed
+        If the store did not say what became of it. The message has the change
+        id; the same call with that id is safe.
+    """
+    require_valid(document)
+    change = Change(
+        base_version=base.revision.version,
+        segments=to_segments(document),
+        change_id=change_id or secrets.token_hex(CHANGE_ID_BYTES),
+        author=context.settings.operator,
+        reason=reason,
+        changed_at=datetime.now(UTC).isoformat(timespec="seconds"),
+    )
+    try:
+        return await context.store.commit(change)
+    except StaleBase as error:
+        theirs = await current(context)
+        raise EditConflict(
+            f"{error}; version {theirs.revision.version} is by "
+            f"{theirs.revision.author}: {theirs.revision.reason}",
+            differences(base.document, theirs.document),
+        ) from error
+    except CommitUnconfirmed as error:
+        raise Unconfirmed(
+            f"{error}. Repeat the command with --change-id={change.change_id}; "
+            "it takes effect once."
+        ) from error
+    except PlatformError as error:
+        raise Unreachable(f"nothing was changed: {error}") from error
+
+
+async def edit(context: OperatorContext, change: Edit, reason: str) -> Revision:
+    """Apply a small edit to whatever the newest document is.
+
+    Unlike a whole document typed by a person, an edit such as a drain can be
+    made again on top of what somebody else changed.
+    """
+    attempts_left = EDIT_ATTEMPTS
+    while True:
+        base = await current(context)
+        attempts_left -= 1
+        try:
+            return await replace(context, base, change(base.document), reason)
+        except EditConflict:
+            if not attempts_left:
+                raise
+
+
+async def issue(
+    context: OperatorContext, workspace: str, reason: str
+) -> tuple[IssuedKey, Revision]:
+    """Issue a key; its text is nowhere else afterwards."""
+    key = issue_key(workspace)
+    revision = await edit(
+        context, lambda document: commands.add_key(document, key.entry), reason
+    )
+    return key, revision
+
+
+async def withdraw(context: OperatorContext, key_id: str, reason: str) -> Withdrawal:
+    """Withdraw a key: tell the fleet at once, and record it in the document.
+
+    The fleet is told first and without the store, so that an outage of the
+    store does not keep a key alive.
+    """
+    told = await _tell_fleet(context, key_id)
+    revision = None
+    try:
+        revision = await edit(
+            context, lambda document: commands.withdraw_key(document, key_id), reason
+        )
+    except (Unreachable, Unconfirmed):
+        if not told:
+            raise
+    return Withdrawal(key_id, told, revision)
+
+
+async def _tell_fleet(context: OperatorContext, key_id: str) -> str:
+    arguments = orjson.dumps({"key_id": key_id})
+    for control in context.settings.controls:
+        try:
+            await context.control.command(
+                control, WITHDRAW_KEY, arguments, context.settings.credential
+            )
+        except PeerError:
+            continue
+        return control
+    return ""
--- /dev/null
+++ b/packages/operator/plantainshed/demo/deployment.py
@@ -0,0 +1,91 @@
+"""The example deployments, and their move to loopback addresses."""
+
+import socket
+from pathlib import Path
+
+from attrs import evolve, frozen
+
+from plantainshed_entry.settings import Seed, Settings
+from plantainshed_model.codec import from_text
+from plantainshed_model.document import Document
+
+from ..errors import BadUsage
+
+LOOPBACK = "127.0.0.1"
+EXAMPLES = "examples"
+VMS_IN_EACH_DOMAIN = 1
+
+
+@frozen
+class Deployment:
+    """An example, ready to run on loopback.
+
+    Parameters
+    ----------
+    name : str
+    document : Document
+        With the targets' addresses on loopback.
+    platform : str
+        Address for the platform's stand-in.
+    vms : tuple of Settings
+    """
+
+    name: str
+    document: Document
+    platform: str
+    vms: tuple[Settings, ...]
+
+
+def load_deployment(name: str) -> Deployment:
+    """Read an example by name, or raise `BadUsage`."""
+    folder = _examples_folder()
+    path = folder / name / "document.json"
+    if not path.is_file():
+        known = ", ".join(sorted(item.name for item in folder.iterdir()))
+        raise BadUsage(f"--deployment: {name!r} is not one of {known}")
+    document = from_text(path.read_text())
+    targets = tuple(
+        evolve(target, address=free_address()) for target in document.targets
+    )
+    platform = free_address()
+    return Deployment(
+        name,
+        evolve(document, targets=targets),
+        platform,
+        tuple(_settings(document, platform)),
+    )
+
+
+def free_address() -> str:
+    """Return a loopback address whose port is free now."""
+    with socket.socket() as probe:
+        probe.bind((LOOPBACK, 0))
+        return f"{LOOPBACK}:{probe.getsockname()[1]}"
+
+
+def _examples_folder() -> Path:
+    for folder in (Path.cwd(), *Path(__file__).resolve().parents):
+        if (folder / EXAMPLES).is_dir():
+            return folder / EXAMPLES
+    raise BadUsage("the folder 'examples' is not here; run from the checkout")
+
+
+def _settings(document: Document, platform: str):
+    names = [
+        (f"{domain.name}-{number}", domain.name)
+        for domain in document.failure_domains
+        for number in range(1, VMS_IN_EACH_DOMAIN + 1)
+    ]
+    seeds = tuple(Seed(vm, domain, free_address()) for vm, domain in names)
+    for seed in seeds:
+        yield Settings(
+            vm=seed.vm,
+            failure_domain=seed.failure_domain,
+            listen=free_address(),
+            peer=seed.peer,
+            control=free_address(),
+            platform=platform,
+            seeds=seeds,
+            fleet_secret=b"demo",
+            log_level="error",
+        )
--- /dev/null
+++ b/packages/operator/plantainshed/demo/outcomes.py
@@ -0,0 +1,109 @@
+"""What happened to the demo's requests, and whether that is as promised."""
+
+import statistics
+from collections import Counter
+
+from attrs import define, field
+
+MAX_CONFIG_S = 8.0
+MAX_KEY_S = 5.0
+MAX_DRAIN_S = 5.0
+
+
+@define
+class Tally:
+    """Counts of one run.
+
+    Attributes
+    ----------
+    sent, answered, lost, cut : int
+    refused : collections.Counter
+        By reason; keys that were withdrawn are counted apart.
+    latencies : list of float
+        Seconds, of answered requests.
+    bookings : set of str
+        Operation ids that were answered.
+    """
+
+    sent: int = 0
+    answered: int = 0
+    lost: int = 0
+    cut: int = 0
+    refused: Counter = field(factory=Counter)
+    latencies: list[float] = field(factory=list)
+    bookings: set[str] = field(factory=set)
+
+    def note_answer(self, deed, operation: str, seconds: float):
+        """Count an answered request."""
+        self.answered += 1
+        self.latencies.append(seconds)
+        if deed.is_booking:
+            self.bookings.add(operation)
+
+    def note_refusal(self, reason: str):
+        """Count a refusal."""
+        self.refused[reason] += 1
+
+    def percentile_ms(self, percent: int) -> float:
+        """Return a percentile of the latencies, in milliseconds."""
+        if len(self.latencies) < 2:
+            return 0.0
+        cuts = statistics.quantiles(self.latencies, n=100, method="inclusive")
+        return round(cuts[percent - 1] * 1000, 1)
+
+
+@define
+class Outcomes:
+    """The figures that the demo ends with."""
+
+    tally: Tally
+    doubled: int = 0
+    missing: int = 0
+    keys_seen_by_targets: int = 0
+    config_in_force_s: float | None = None
+    key_withdrawn_s: float | None = None
+    drain_s: float | None = None
+
+    def as_fields(self) -> dict:
+        """Return the figures as plain values."""
+        tally = self.tally
+        return {
+            "sent": tally.sent,
+            "answered": tally.answered,
+            "refused": dict(tally.refused),
+            "wrongful_refusals": sum(tally.refused.values()),
+            "lost": tally.lost + self.missing,
+            "doubled": self.doubled,
+            "cut": tally.cut,
+            "p50_ms": tally.percentile_ms(50),
+            "p99_ms": tally.percentile_ms(99),
+            "config_in_force_s": self.config_in_force_s,
+            "key_withdrawn_s": self.key_withdrawn_s,
+            "drain_s": self.drain_s,
+            "keys_seen_by_targets": self.keys_seen_by_targets,
+        }
+
+    def violations(self) -> list[str]:
+        """Return what was promised and did not hold."""
+        fields = self.as_fields()
+        found = [
+            f"{name} is {fields[name]}, not 0"
+            for name in (
+                "wrongful_refusals",
+                "lost",
+                "doubled",
+                "cut",
+                "keys_seen_by_targets",
+            )
+            if fields[name]
+        ]
+        for name, limit in (
+            ("config_in_force_s", MAX_CONFIG_S),
+            ("key_withdrawn_s", MAX_KEY_S),
+            ("drain_s", MAX_DRAIN_S),
+        ):
+            if fields[name] is None or fields[name] > limit:
+                found.append(f"{name} is {fields[name]}, not within {limit:g} s")
+        if not self.tally.answered:
+            found.append("no request was answered")
+        return found
--- /dev/null
+++ b/packages/operator/plantainshed/settings.py
@@ -0,0 +1,93 @@
+"""Settings of the operators' side, read from an INI file and checked."""
+
+import configparser
+from pathlib import Path
+
+from attrs import frozen
+
+from plantainshed_coordination.addresses import is_address
+
+from .errors import BadUsage
+
+DEFAULT_CONSOLE = "127.0.0.1:8200"
+MIN_CREDENTIAL_LENGTH = 8
+
+
+@frozen
+class OperatorSettings:
+    """What operators' commands need to know.
+
+    Parameters
+    ----------
+    platform : str
+        ``IP:PORT`` of the platform's object store.
+    controls : tuple of str
+        ``IP:PORT`` of some entry VMs' control ports.
+    credential : str
+        The fleet's secret, which commands to VMs bear.
+    operator : str
+        Who is recorded as the author of changes.
+    console_listen : str
+    console_password : str
+        What operators enter to use the console.
+    """
+
+    platform: str
+    controls: tuple[str, ...] = ()
+    credential: str = ""
+    operator: str = "operator"
+    console_listen: str = DEFAULT_CONSOLE
+    console_password: str = ""
+
+
+def load_operator_settings(path: str) -> OperatorSettings:
+    """Read a settings file, or raise `BadUsage` with every fault."""
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        parser.read_string(Path(path).read_text())
+    except (OSError, configparser.Error) as error:
+        raise BadUsage(f"{path}: {error}") from error
+    faults = list(_faults(parser))
+    if faults:
+        raise BadUsage(f"{path} cannot be used:\n  " + "\n  ".join(faults))
+    return OperatorSettings(
+        platform=parser["platform"]["address"],
+        controls=tuple(_controls(parser)),
+        credential=_read(parser, "fleet", "secret_file"),
+        operator=parser.get("operator", "name", fallback="operator"),
+        console_listen=parser.get("console", "listen", fallback=DEFAULT_CONSOLE),
+        console_password=_read(parser, "console", "password_file"),
+    )
+
+
+def _faults(parser):
+    addresses = [
+        ("platform", "address", parser.get("platform", "address", fallback=""))
+    ]
+    listen = parser.get("console", "listen", fallback=DEFAULT_CONSOLE)
+    addresses.append(("console", "listen", listen))
+    addresses += [("fleet", "controls", control) for control in _controls(parser)]
+    for section, option, value in addresses:
+        if not is_address(value):
+            yield f"[{section}] {option} = {value!r}: must be IP:PORT"
+    for section, option in (("fleet", "secret_file"), ("console", "password_file")):
+        path = parser.get(section, option, fallback="")
+        if path and not Path(path).is_file():
+            yield f"[{section}] {option} = {path!r}: must be the path of a file"
+    password = _read(parser, "console", "password_file")
+    if password and len(password) < MIN_CREDENTIAL_LENGTH:
+        yield (
+            "[console] password_file: the password must have at least "
+            f"{MIN_CREDENTIAL_LENGTH} characters"
+        )
+
+
+def _controls(parser):
+    return parser.get("fleet", "controls", fallback="").split()
+
+
+def _read(parser, section, option) -> str:
+    path = parser.get(section, option, fallback="")
+    if not path or not Path(path).is_file():
+        return ""
+    return Path(path).read_text().strip()
