Ask the lender that is known to have enough for all of it

Cause: after a VM began to leave, its callers' new VM held 1.7 % of the workspace's share and asked three lenders for a third of a token each. The one that held 92 % and a full bucket was asked for a third, too, and the round ended dry. Ruled out: rebalancing lag alone (loans are there to cover it). Change: an answer says what is left; the next wave asks that lender for the whole need.

--- a/packages/coordination/plantainshed_coordination/lending.py
+++ b/packages/coordination/plantainshed_coordination/lending.py
@@ -26,6 +26,7 @@
 MAX_ROUNDS = 2
 RETURN_RETRY_S = 0.5
 MIN_LOAN = 1e-6
+LEFT_FRESH_S = 0.5
 
 
 @frozen
@@ -49,6 +50,14 @@
     grant: str
 
 
+@frozen
+class HeardLeft:
+    """What a lender said that it had left, and when."""
+
+    amount: float
+    at: float
+
+
 @frozen
 class DrySpell:
     """A time in which peers are not asked, as none had anything to lend."""
@@ -76,7 +85,7 @@
         self._running: dict[str, trio.Event] = {}
         self._waiting: dict[str, int] = {}
         self._dry: dict[str, DrySpell] = {}
-        self._last_left: dict[tuple[str, str], float] = {}
+        self._last_left: dict[tuple[str, str], HeardLeft] = {}
         self._grant_numbers = itertools.count(1)
         self._to_return, self._returning = trio.open_memory_channel(float("inf"))
 
@@ -136,13 +145,14 @@
 
     async def _ask_peers(self, name: str, part: RatePart):
         self.rounds += 1
-        candidates = self._lenders(name)
         ahead = part.demand.read() * PREFETCH_S
+        asked: set[str] = set()
         for size in WAVES:
             missing = self._waiting[name] - part.available()
-            if missing <= 0 or not candidates:
+            wave = self._wave(name, asked, missing, size) if missing > 0 else []
+            if not wave:
                 break
-            wave, candidates = candidates[:size], candidates[size:]
+            asked.update(wave)
             amount = (missing + ahead) / len(wave)
             async with trio.open_nursery() as nursery:
                 for vm in wave:
@@ -158,17 +168,39 @@
         length = min(DRY_MAX_S, last.length_s * 2) if last else DRY_MIN_S
         self._dry[name] = DrySpell(length, trio.current_time() + length)
 
-    def _lenders(self, name: str) -> list[str]:
-        """Return whom to ask, the likeliest to have some first."""
-        own = self.membership.identity
-        others = [vm for vm in self.membership.usable_vms() if vm != own.vm]
-        order = rendezvous_order(f"{name}/{self.rounds}", others)
-
-        def promise(vm: str) -> tuple[float, bool]:
-            near = self.membership.failure_domain_of(vm) == own.failure_domain
-            return self._last_left.get((name, vm), 1.0), near
+    def _wave(self, name: str, asked: set[str], missing: float, size: int) -> list[str]:
+        """Return whom to ask next.
 
-        return sorted(order, key=promise, reverse=True)
+        One VM that is known to have enough is asked for all of it. Otherwise
+        several are asked for an equal part each; their answers say who has
+        more, and the next wave goes there.
+        """
+        own = self.membership.identity.vm
+        left = {
+            vm: self._left_at(name, vm)
+            for vm in self.membership.usable_vms()
+            if vm != own
+        }
+        if not left:
+            return []
+        order = rendezvous_order(f"{name}/{self.rounds}", left)
+        order.sort(key=lambda vm: (left[vm] or 0.0, self._is_near(vm)), reverse=True)
+        if (left[order[0]] or 0.0) >= missing:
+            return order[:1]
+        worth = [vm for vm in order if vm not in asked and left[vm] is None]
+        worth += [vm for vm in order if (left[vm] or 0.0) > MIN_LOAN]
+        return worth[:size]
+
+    def _left_at(self, name: str, vm: str) -> float | None:
+        """Return what a VM said lately that it has left; None if it is not known."""
+        heard = self._last_left.get((name, vm))
+        if heard is None or trio.current_time() - heard.at > LEFT_FRESH_S:
+            return None
+        return heard.amount
+
+    def _is_near(self, vm: str) -> bool:
+        own = self.membership.identity.failure_domain
+        return self.membership.failure_domain_of(vm) == own
 
     async def _borrow_tokens(self, vm: str, name: str, part: RatePart, amount: float):
         asked_at = trio.current_time()
@@ -176,9 +208,9 @@
         try:
             grant = await self.network.ask(vm, "loan_request", request, LOAN_TIMEOUT_S)
         except PeerError:
-            self._last_left[name, vm] = 0.0
+            self._last_left[name, vm] = HeardLeft(0.0, trio.current_time())
             return
-        self._last_left[name, vm] = grant.left
+        self._last_left[name, vm] = HeardLeft(grant.left, trio.current_time())
         part.receive_loan(grant.amount, asked_at)
 
     # One of a count.
