Replay traces on several nodes in memory, with outcomes and baselines

Cause: limits and faults were only tried by hand. Change: a rig of the daemon's own parts on trio's mock clock, traces for both deployments, a static equal split and round robin as baselines.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 BIN := .venv/bin
 DEPLOYMENT ?= cerimonia
-PACKAGES := coordination model http standins entry operator
+PACKAGES := coordination model http standins entry operator measure
 
 .PHONY: run test lint format bench measure capacity
 
@@ -25,3 +25,9 @@
 	$(BIN)/python -m pip install --quiet --disable-pip-version-check -r requirements.txt
 	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-build-isolation --no-deps $(PACKAGES:%=-e packages/%)
 	touch $@
+
+measure: .venv/installed
+	$(BIN)/python -m plantainshed_measure
+
+traces: .venv/installed
+	$(BIN)/python -m plantainshed_measure.make_traces
--- a/packages/entry/plantainshed_entry/admission.py
+++ b/packages/entry/plantainshed_entry/admission.py
@@ -1,9 +1,10 @@
 """Whose a request is, and whether it may run: key, withdrawal, rate."""
 
+from typing import Protocol
+
 import trio
 from attrs import frozen
 
-from plantainshed_coordination.lending import Lending
 from plantainshed_coordination.rumors import RumorBook
 from plantainshed_http.messages import RequestHead
 from plantainshed_model.document import Workspace
@@ -28,6 +29,13 @@
     key_id: str
 
 
+class RateLimiter(Protocol):
+    """Says whether one more request is within a budget of the whole fleet."""
+
+    async def take(self, name: str) -> bool:
+        """Take one token of a rate budget."""
+
+
 class Admission:
     """Decides whether a request may run.
 
@@ -35,7 +43,7 @@
     ----------
     rumors : RumorBook
         Withdrawn keys arrive as rumors, before the document.
-    lending : Lending
+    limiter : RateLimiter
     metrics : Metrics
 
     Attributes
@@ -45,9 +53,9 @@
         When this failure domain last had any path to the rest.
     """
 
-    def __init__(self, rumors: RumorBook, lending: Lending, metrics: Metrics):
+    def __init__(self, rumors: RumorBook, limiter: RateLimiter, metrics: Metrics):
         self.rumors = rumors
-        self.lending = lending
+        self.limiter = limiter
         self.metrics = metrics
         self.in_force: InForce | None = None
         self.outside_heard_at = trio.current_time()
@@ -92,7 +100,7 @@
 
     async def spend_rate(self, workspace: Workspace):
         """Take one request out of the workspace's rate, or raise `Refusal`."""
-        if await self.lending.take(WORKSPACE_PREFIX + workspace.name):
+        if await self.limiter.take(WORKSPACE_PREFIX + workspace.name):
             return
         wait_s = 1.0 / workspace.rate if workspace.rate else MAX_RETRY_AFTER_S
         raise Refusal(
--- a/packages/entry/plantainshed_entry/node.py
+++ b/packages/entry/plantainshed_entry/node.py
@@ -22,7 +22,7 @@
 from plantainshed_coordination.rumors import RumorBook
 from plantainshed_coordination.versioned import DocumentStore, Revision
 
-from .admission import KEY_WITHDRAWN_TOPIC, Admission
+from .admission import KEY_WITHDRAWN_TOPIC, Admission, RateLimiter
 from .attempts import Attempts, Relay
 from .context import Context
 from .domain_news import DomainNews
@@ -34,7 +34,7 @@
 from .routing import Routing
 from .serving import Serving
 from .steering import Steering
-from .targets import TargetTable
+from .targets import TargetOrder, TargetTable
 
 UPKEEP_S = 1.0
 LEAVE_NOTICE_S = TTL_S + 1.0
@@ -51,9 +51,20 @@
         Runs one attempt at a target.
     probe : callable
         Checks one target's health.
+    limiter : RateLimiter, optional
+        Instead of the parts and loans of this library, for comparisons.
+    order : TargetOrder, optional
+        Instead of the least loaded first, for comparisons.
     """
 
-    def __init__(self, context: Context, relay: Relay, probe: Probe):
+    def __init__(
+        self,
+        context: Context,
+        relay: Relay,
+        probe: Probe,
+        limiter: RateLimiter | None = None,
+        order: TargetOrder | None = None,
+    ):
         settings = context.settings
         self.context = context
         self.log = context.log
@@ -75,12 +86,14 @@
             self.network, self.membership, self.holdings, self.rebalancers
         )
         self.operations = OperationBook(self.network, self.membership)
-        self.targets = TargetTable(self.holdings)
+        self.targets = TargetTable(self.holdings, order)
         self.loads = LoadBoard(settings.failure_domain)
         self.steering = Steering(self.membership, self.targets, self.loads)
         self.lookup = Lookup(self.membership, self.steering)
         self.routing = Routing(self.membership, self.lending, self.targets)
-        self.admission = Admission(self.rumors, self.lending, context.metrics)
+        self.admission = Admission(
+            self.rumors, limiter or self.lending, context.metrics
+        )
         self.poison = PoisonBook(self.rumors)
         self.attempts = Attempts(
             self.routing, self.targets, self.poison, context.metrics, relay
--- a/packages/entry/plantainshed_entry/targets.py
+++ b/packages/entry/plantainshed_entry/targets.py
@@ -5,6 +5,7 @@
 """
 
 import random
+from typing import Protocol
 
 import trio
 from attrs import define, field, frozen
@@ -119,6 +120,25 @@
         self.warm_since = trio.current_time()
 
 
+class TargetOrder(Protocol):
+    """Puts targets with room in the order in which to try them."""
+
+    def __call__(self, candidates: list[TargetState]) -> list[TargetState]:
+        """Return the candidates, best first."""
+
+
+class LeastLoaded:
+    """Prefers the target with the fewest requests for its slots."""
+
+    def __init__(self):
+        self.random = random.Random(1)
+
+    def __call__(self, candidates: list[TargetState]) -> list[TargetState]:
+        """Return the candidates by load; equal ones in random order."""
+        shuffled = self.random.sample(candidates, len(candidates))
+        return sorted(shuffled, key=lambda state: state.load)
+
+
 class TargetTable:
     """All targets of the document in force.
 
@@ -126,6 +146,8 @@
     ----------
     holdings : Holdings
         Where this VM's parts of slots are.
+    order : TargetOrder, optional
+        Which of several targets with room to prefer.
 
     Attributes
     ----------
@@ -134,12 +156,12 @@
         Measured seconds in a slot, by pool.
     """
 
-    def __init__(self, holdings: Holdings):
+    def __init__(self, holdings: Holdings, order: "TargetOrder | None" = None):
         self.holdings = holdings
+        self.order = order or LeastLoaded()
         self.states: dict[str, TargetState] = {}
         self.service_time: dict[str, float] = {}
         self.drained: set[str] = set()
-        self.random = random.Random(1)
         self._by_pool: dict[str, list[TargetState]] = {}
         self._is_first = True
 
@@ -223,8 +245,7 @@
             and not (alone and state.marked_in_flight)
             and self._has_room(state)
         ]
-        self.random.shuffle(candidates)
-        for state in sorted(candidates, key=lambda state: state.load):
+        for state in self.order(candidates):
             if state.part.try_take():
                 return state
         return None
--- /dev/null
+++ b/packages/measure/plantainshed_measure/replay.py
@@ -0,0 +1,216 @@
+"""Replaying a trace on a rig, and the figures that come out."""
+
+import random
+from pathlib import Path
+
+import trio
+import trio.testing
+
+from plantainshed_entry.in_force import SHIFT_BURST_S
+from plantainshed_model.codec import from_text
+from plantainshed_model.document import Document
+
+from .callers import Callers
+from .faults import FAULTS
+from .policies import Policy
+from .rig import Rig
+from .tally import Tally, excess_of_cap
+from .trace import SLICE_S, Happening, Trace
+
+SETTLE_S = 12.0
+END_S = 6.0
+SAMPLE_S = 0.1
+VMS_A_DOMAIN = 1
+
+
+def replay(trace: Trace, examples: Path, policy: Policy, vms_a_domain=VMS_A_DOMAIN):
+    """Replay a trace and return its figures by name."""
+    document = from_text((examples / trace.deployment / "document.json").read_text())
+    return trio.run(
+        _replay,
+        trace,
+        document,
+        policy,
+        vms_a_domain,
+        clock=trio.testing.MockClock(autojump_threshold=0),
+    )
+
+
+async def _replay(trace: Trace, document: Document, policy: Policy, vms_a_domain: int):
+    vms = [
+        (f"{domain.name}-{number}", domain.name)
+        for domain in document.failure_domains
+        for number in range(1, vms_a_domain + 1)
+    ]
+    rig = Rig(document, vms, policy)
+    tally = Tally(rig.document)
+    _watch_admissions(rig, tally)
+    callers = Callers(rig, tally)
+    async with rig.running():
+        await trio.sleep(SETTLE_S)
+        before = _control_counts(rig)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_sample_headroom, rig, tally, trace.length_s)
+            await _play(trace, rig, tally, callers, nursery)
+        after = _control_counts(rig)
+        await trio.sleep(END_S)
+        return _figures(trace, policy, rig, tally, before, after)
+
+
+async def _play(trace: Trace, rig: Rig, tally: Tally, callers: Callers, nursery):
+    began_at = trio.current_time()
+    for item in trace.happenings:
+        await trio.sleep_until(began_at + item.t)
+        if item.fault:
+            nursery.start_soon(_cause, item, rig, tally)
+        else:
+            nursery.start_soon(_send_slice, item, callers, nursery)
+
+
+async def _cause(item: Happening, rig: Rig, tally: Tally):
+    await FAULTS[item.fault](rig, tally, **item.arguments)
+
+
+async def _send_slice(item: Happening, callers: Callers, nursery):
+    """Send the requests of one slice, each at its own time."""
+    chooser = random.Random(item.t)
+    began_at = trio.current_time()
+    planned = [
+        (chooser.random() * SLICE_S, arrivals)
+        for arrivals in item.requests
+        for _ in range(arrivals.count)
+    ]
+    for offset_s, arrivals in sorted(planned, key=lambda pair: pair[0]):
+        await trio.sleep_until(began_at + offset_s)
+        nursery.start_soon(
+            callers.request, arrivals.workspace, arrivals.pool, arrivals.home
+        )
+
+
+def _watch_admissions(rig: Rig, tally: Tally):
+    """Have every node's admissions counted against one single bucket."""
+    start_vm = rig.start_vm
+
+    def start_watched(vm: str):
+        start_vm(vm)
+        admission = rig.vms[vm].node.admission
+        spend_rate = admission.spend_rate
+
+        async def spend(workspace):
+            await spend_rate(workspace)
+            tally.note_admission(workspace.name)
+
+        admission.spend_rate = spend
+
+    rig.start_vm = start_watched
+
+
+async def _sample_headroom(rig: Rig, tally: Tally, length_s: float):
+    regions = set(rig.region.values())
+    with trio.move_on_after(length_s):
+        while True:
+            await trio.sleep(SAMPLE_S)
+            for region in regions:
+                targets = [
+                    t
+                    for t in rig.targets.values()
+                    if rig.region[t.failure_domain] == region and not t.is_down
+                ]
+                slots = sum(target.slots for target in targets)
+                if slots:
+                    running = sum(target.running for target in targets)
+                    headroom = 1.0 - running / slots
+                    tally.headroom_min = min(tally.headroom_min, headroom)
+
+
+def _control_counts(rig: Rig) -> tuple[float, int, int, int]:
+    sent = sum(t.sent_bytes + t.received_bytes for t in rig.all_transports)
+    messages = sum(t.sent_messages for t in rig.all_transports)
+    return trio.current_time(), sent, messages, rig.platform.calls.total()
+
+
+def _figures(trace: Trace, policy: Policy, rig: Rig, tally: Tally, before, after):
+    runs: dict[str, int] = {}
+    for target in rig.targets.values():
+        for name, count in target.runs.items():
+            runs[name] = runs.get(name, 0) + count
+    answered = sum(counted.answered for counted in tally.workspaces.values())
+    entitled = sum(counted.entitled for counted in tally.workspaces.values())
+    worst, worst_share = tally.worst_workspace()
+    wrongful = tally.wrongful()
+    seconds, sent, messages, calls = (b - a for a, b in zip(before, after, strict=True))
+    vms = len(rig.domain_of)
+    return {
+        "deployment": trace.deployment,
+        "trace": trace.name,
+        "policy": policy.name,
+        "sent": sum(counted.arrived for counted in tally.workspaces.values()),
+        "answered": answered,
+        "refused": tally.refusals(),
+        "overshoot": tally.overshoot(),
+        "wrongful_refusals": wrongful,
+        "wrongful_share": round(wrongful / max(1, entitled), 5),
+        "worst_workspace": worst_share,
+        "worst_workspace_name": worst,
+        "p50_ms": tally.percentile_ms(50),
+        "p99_ms": tally.percentile_ms(99),
+        "headroom_min": round(tally.headroom_min, 3),
+        "drain_s": tally.events["drain_s"],
+        "cut": tally.cut,
+        "doubled": sum(1 for name in runs if "~" in name and runs[name] > 1),
+        "lost": tally.lost,
+        "false_not_run": _false_not_run(tally, runs),
+        "shift_cap_excess": _shift_cap_excess(rig),
+        "config_in_force_s": tally.events["config_in_force_s"],
+        "key_withdrawn_s": tally.events["key_withdrawn_s"],
+        "control_bytes_s": round(sent / seconds / vms),
+        "control_messages_s": round(messages / seconds / vms, 1),
+        "store_calls_s": round(calls / seconds / vms, 2),
+        "overrun_slots": sum(
+            max(0, target.most_running - target.slots)
+            for target in rig.targets.values()
+        ),
+        "shed": sum(target.shed for target in rig.targets.values()),
+    }
+
+
+def _false_not_run(tally: Tally, runs: dict[str, int]) -> int:
+    answered_later = set()
+    return sum(1 for name in set(tally.not_run) - answered_later if runs.get(name))
+
+
+def _shift_cap_excess(rig: Rig) -> float | None:
+    if not rig.document.shifts:
+        return None
+    excess = 0.0
+    for shift in rig.document.shifts:
+        moved = [
+            at
+            for target in rig.targets.values()
+            for at, call in target.started
+            if _is_moved(rig, shift, target, call)
+        ]
+        burst = max(1.0, shift.cap * SHIFT_BURST_S)
+        excess = max(excess, excess_of_cap(moved, shift.cap, burst))
+    return excess
+
+
+def _is_moved(rig: Rig, shift, target, call) -> bool:
+    return (
+        call.pool.name == shift.pool
+        and rig.region[target.failure_domain] == shift.to_region
+        and rig.region.get(call.home_domain) == shift.from_region
+    )
+
+
+def violations(figures: dict, trace: Trace) -> list[str]:
+    """Return the figures that are above what the trace allows."""
+    found = []
+    for name, limit in trace.limits.items():
+        value = figures[name]
+        if name == "worst_workspace":
+            if value < limit:
+                found.append(f"{name} is {value}, less than {limit}")
+        elif value is None or value > limit:
+            found.append(f"{name} is {value}, more than {limit}")
+    return found
--- /dev/null
+++ b/packages/measure/plantainshed_measure/rig.py
@@ -0,0 +1,273 @@
+"""Several nodes on a network in memory, with the faults that a trace names."""
+
+import contextlib
+import itertools
+import logging
+
+import trio
+from attrs import evolve
+
+from plantainshed_coordination.errors import PlatformUnavailable
+from plantainshed_coordination.identity import Identity
+from plantainshed_coordination.platform import ListedVm
+from plantainshed_coordination.versioned import Change, DocumentStore
+from plantainshed_entry.context import Context
+from plantainshed_entry.errors import AttemptFailed
+from plantainshed_entry.node import Node
+from plantainshed_entry.reasons import Outcome
+from plantainshed_entry.settings import Seed, Settings
+from plantainshed_model.codec import from_segments, to_segments
+from plantainshed_model.document import Document
+from plantainshed_model.keys import IssuedKey, issue_key
+from plantainshed_standins.memory_network import MemoryNetwork
+from plantainshed_standins.memory_platform import MemoryPlatform
+
+from .fake_exchange import FakeExchange
+from .memory_targets import MemoryTarget
+from .policies import Policy
+
+STORE_DELAY_S = 0.004
+REGION_DELAY_S = 0.012
+DOMAIN_DELAY_S = 0.001
+LEAVE_TIMEOUT_S = 60.0
+QUIET = logging.getLogger("plantainshed.rig")
+QUIET.setLevel(logging.CRITICAL)
+
+
+class VmPlatform:
+    """The platform as one VM reaches it: over the network, or not at all."""
+
+    def __init__(self, rig: "Rig", failure_domain: str):
+        self.rig = rig
+        self.failure_domain = failure_domain
+
+    def __getattr__(self, name):
+        async def call(*arguments):
+            if self.rig.is_cut_from_platform(self.failure_domain):
+                await trio.sleep(0.5)
+                raise PlatformUnavailable(f"{self.failure_domain} is cut off")
+            await trio.sleep(STORE_DELAY_S)
+            if name != "wait_for_change":
+                return await getattr(self.rig.platform, name)(*arguments)
+            return await self._watch(arguments)
+
+        return call
+
+    async def _watch(self, arguments):
+        """Wait for a change; a cut breaks the wait as it breaks a connection."""
+        while True:
+            with trio.move_on_after(1.0):
+                return await self.rig.platform.wait_for_change(*arguments)
+            if self.rig.is_cut_from_platform(self.failure_domain):
+                raise PlatformUnavailable(f"{self.failure_domain} is cut off")
+
+
+class RunningVm:
+    """A VM of the rig: its node and what ends it."""
+
+    def __init__(self, node: Node, scope: trio.CancelScope):
+        self.node = node
+        self.scope = scope
+        self.is_accepting = True
+        self.requests: set[trio.CancelScope] = set()
+
+
+class Rig:
+    """A fleet in memory.
+
+    Parameters
+    ----------
+    document : Document
+    vms : list of (str, str)
+        VM and failure domain of each.
+    policy : Policy
+    seed : int
+    """
+
+    def __init__(self, document: Document, vms, policy: Policy, seed: int = 1):
+        self.keys: dict[str, IssuedKey] = {
+            item.name: issue_key(item.name) for item in document.workspaces
+        }
+        entries = tuple(key.entry for key in self.keys.values())
+        self.document = evolve(document, keys=entries)
+        self.region = {d.name: d.region for d in document.failure_domains}
+        self.domain_of = dict(vms)
+        self.policy = policy
+        self.platform = MemoryPlatform()
+        self.network = MemoryNetwork(seed, self._delay)
+        self.network.faults.is_cut = self._is_cut
+        self.isolated: set[str] = set()
+        self.cut_from_platform: set[str] = set()
+        self.targets = self._make_targets()
+        self.vms: dict[str, RunningVm] = {}
+        self.planned_stops: set[str] = set()
+        self.all_transports = []
+        self.nursery: trio.Nursery | None = None
+        self._incarnations = itertools.count(1)
+        self._change_ids = itertools.count(1)
+
+    def _make_targets(self) -> dict[str, MemoryTarget]:
+        pools = {pool.name: pool for pool in self.document.pools}
+        return {
+            target.name: MemoryTarget(
+                target.name,
+                target.failure_domain,
+                pools[target.pool].slots,
+                pools[target.pool].service_time_s,
+            )
+            for target in self.document.targets
+        }
+
+    @contextlib.asynccontextmanager
+    async def running(self):
+        """Run the fleet for the length of a block."""
+        async with trio.open_nursery() as nursery:
+            self.nursery = nursery
+            await self.commit(self.document)
+            for vm in self.domain_of:
+                self.start_vm(vm)
+            yield self
+            nursery.cancel_scope.cancel()
+
+    # VMs.
+
+    def start_vm(self, vm: str):
+        """Start a VM, or a new run of it."""
+        failure_domain = self.domain_of[vm]
+        seeds = tuple(Seed(n, d, n) for n, d in self.domain_of.items())
+        settings = Settings(vm, failure_domain, vm, vm, vm, "platform", seeds)
+        transport = self.network.open(vm)
+        self.all_transports.append(transport)
+        identity = Identity(vm, failure_domain, next(self._incarnations))
+        context = Context(
+            settings,
+            identity,
+            VmPlatform(self, failure_domain),
+            transport,
+            transport,
+            logging.LoggerAdapter(QUIET, {}),
+        )
+        node = Node(
+            context,
+            self._relay_from(failure_domain),
+            self._probe_from(failure_domain),
+            limiter=self.policy.limiter(self.document, len(self.domain_of)),
+            order=self.policy.order(),
+        )
+        transport.values = node.follower.value
+        running = RunningVm(node, trio.CancelScope())
+        self.vms[vm] = running
+        self.platform.vms[vm] = ListedVm(vm, leaving=False)
+        self.nursery.start_soon(self._run_vm, running)
+
+    async def _run_vm(self, running: RunningVm):
+        with running.scope:
+            await running.node.run()
+
+    def kill_vm(self, vm: str):
+        """End a VM without notice."""
+        running = self.vms.pop(vm)
+        for scope in [running.scope, *running.requests]:
+            scope.cancel()
+        self.network.ends.pop(vm, None)
+
+    def forget_vm(self, vm: str):
+        """Have the platform drop a VM from its list."""
+        self.platform.vms.pop(vm, None)
+
+    async def stop_vm(self, vm: str):
+        """Stop a VM as planned."""
+        running = self.vms[vm]
+        self.planned_stops.add(vm)
+        await running.node.leave(LEAVE_TIMEOUT_S)
+        running.is_accepting = False
+        self.kill_vm(vm)
+        self.forget_vm(vm)
+
+    async def replace_vm(self, vm: str, gap_s: float = 0.5):
+        """Stop a VM as planned, and start its successor."""
+        await self.stop_vm(vm)
+        await trio.sleep(gap_s)
+        self.start_vm(vm)
+
+    async def serve(self, vm: str, exchange: FakeExchange) -> bool:
+        """Have a VM answer an exchange; False when it is not there, or died."""
+        running = self.vms.get(vm)
+        if running is None or not running.is_accepting:
+            return False
+        with trio.CancelScope() as scope:
+            running.requests.add(scope)
+            try:
+                await running.node.serving.serve(exchange)
+            finally:
+                running.requests.discard(scope)
+        return not scope.cancelled_caught
+
+    # The document.
+
+    async def commit(self, document: Document, reason: str = "trace") -> int:
+        """Put a document in place; return its version."""
+        store = DocumentStore(self.platform)
+        root = await store.root()
+        change = Change(
+            root.revision.version,
+            to_segments(document),
+            f"change-{next(self._change_ids)}",
+            "trace",
+            reason,
+            "",
+        )
+        revision = await store.commit(change)
+        self.document = document
+        return revision.version
+
+    async def edit(self, change) -> int:
+        """Change the stored document; return its version."""
+        store = DocumentStore(self.platform)
+        root = await store.root()
+        document = from_segments(await store.segments(root.revision))
+        return await self.commit(change(document))
+
+    # The network.
+
+    def _delay(self, sender: str, receiver: str) -> float:
+        return self.delay_between(self.domain_of[sender], self.domain_of[receiver])
+
+    def delay_between(self, domain_a: str, domain_b: str) -> float:
+        """Return the one-way delay between two failure domains, in seconds."""
+        if self.region[domain_a] != self.region[domain_b]:
+            return REGION_DELAY_S
+        return DOMAIN_DELAY_S if domain_a != domain_b else DOMAIN_DELAY_S / 4
+
+    def _is_cut(self, sender: str, receiver: str) -> bool:
+        return self.is_cut(self.domain_of[sender], self.domain_of[receiver])
+
+    def is_cut(self, domain_a: str, domain_b: str) -> bool:
+        """Tell whether nothing passes between two failure domains."""
+        return domain_a != domain_b and bool({domain_a, domain_b} & self.isolated)
+
+    def is_cut_from_platform(self, failure_domain: str) -> bool:
+        """Tell whether a failure domain cannot reach the platform."""
+        return failure_domain in self.isolated | self.cut_from_platform
+
+    def _relay_from(self, failure_domain: str):
+        async def relay(call, state):
+            target = self.targets[state.target.name]
+            if self.is_cut(failure_domain, target.failure_domain):
+                await trio.sleep(1.0)
+                raise AttemptFailed("not reachable", Outcome.NOT_RUN)
+            delay_s = self.delay_between(failure_domain, target.failure_domain)
+            await trio.sleep(delay_s)
+            await target.run(call)
+            await trio.sleep(delay_s)
+            await call.exchange.start(200, [])
+            await call.exchange.finish()
+
+        return relay
+
+    def _probe_from(self, failure_domain: str):
+        async def probe(state):
+            await trio.sleep(DOMAIN_DELAY_S)
+            return self.targets[state.target.name].probe()
+
+        return probe
--- /dev/null
+++ b/packages/measure/plantainshed_measure/tally.py
@@ -0,0 +1,150 @@
+"""Figures of one replay, measured against what was promised."""
+
+import statistics
+from collections import Counter, defaultdict
+
+import trio
+from attrs import define, field
+
+from plantainshed_model.document import Document
+
+RATE_REASONS = ("rate", "no_room", "no_target", "not_ready")
+
+
+@define
+class ReferenceBucket:
+    """One single bucket with a workspace's whole rate and burst.
+
+    Fed with what was admitted, `deepest` shows by how much the fleet went
+    beyond it; fed with what arrived, `refused` shows what even it refuses.
+    """
+
+    rate: float
+    burst: float
+    level: float = 0.0
+    at: float = 0.0
+    deepest: float = 0.0
+    admitted: int = 0
+    refused: int = 0
+
+    def __attrs_post_init__(self):
+        self.level = self.burst
+
+    def _refill(self, now: float):
+        self.level = min(self.burst, self.level + (now - self.at) * self.rate)
+        self.at = now
+
+    def spend(self, now: float):
+        """Count an admission, whatever the level."""
+        self._refill(now)
+        self.level -= 1
+        self.deepest = max(self.deepest, -self.level)
+
+    def offer(self, now: float) -> bool:
+        """Admit if there is a token."""
+        self._refill(now)
+        if self.level < 1:
+            self.refused += 1
+            return False
+        self.level -= 1
+        self.admitted += 1
+        return True
+
+
+@define
+class WorkspaceTally:
+    """What became of one workspace's requests."""
+
+    arrived: int = 0
+    entitled: int = 0
+    answered: int = 0
+    refused: Counter = field(factory=Counter)
+
+
+class Tally:
+    """Counts of one replay."""
+
+    def __init__(self, document: Document):
+        self.workspaces: dict[str, WorkspaceTally] = defaultdict(WorkspaceTally)
+        self.arrivals = {w.name: _bucket(w) for w in document.workspaces}
+        self.admissions = {w.name: _bucket(w) for w in document.workspaces}
+        self.shift_buckets: dict[str, ReferenceBucket] = {}
+        self.latencies: list[float] = []
+        self.lost = 0
+        self.cut = 0
+        self.unknown = 0
+        self.false_not_run = 0
+        self.not_run: list[str] = []
+        self.headroom_min = 1.0
+        self.events: dict[str, float | None] = defaultdict(lambda: None)
+
+    def note_arrival(self, workspace: str):
+        """Count a request that comes to the fleet for the first time."""
+        counted = self.workspaces[workspace]
+        counted.arrived += 1
+        counted.entitled += self.arrivals[workspace].offer(trio.current_time())
+
+    def note_admission(self, workspace: str):
+        """Count a request that was let through its workspace's rate."""
+        self.admissions[workspace].spend(trio.current_time())
+
+    def note_answer(self, workspace: str, seconds: float):
+        """Count an answered request."""
+        self.workspaces[workspace].answered += 1
+        self.latencies.append(seconds)
+
+    def note_refusal(self, workspace: str, reason: str):
+        """Count a request whose last word was a refusal."""
+        self.workspaces[workspace].refused[reason] += 1
+
+    def wrongful(self) -> int:
+        """Return refusals beyond those that one single bucket would make."""
+        total = 0
+        for name, counted in self.workspaces.items():
+            refused = sum(counted.refused[reason] for reason in RATE_REASONS)
+            total += max(0, refused - self.arrivals[name].refused)
+        return total
+
+    def refusals(self) -> dict[str, int]:
+        """Return all refusals by reason."""
+        total = Counter()
+        for counted in self.workspaces.values():
+            total.update(counted.refused)
+        return dict(total)
+
+    def worst_workspace(self) -> tuple[str, float]:
+        """Return the workspace with the least served of what it was entitled to."""
+        shares = {
+            name: min(1.0, counted.answered / counted.entitled)
+            for name, counted in self.workspaces.items()
+            if counted.entitled
+        }
+        name = min(shares, key=shares.get)
+        return name, round(shares[name], 4)
+
+    def overshoot(self) -> float:
+        """Return the most that any workspace got beyond its rate and burst."""
+        deepest = max(bucket.deepest for bucket in self.admissions.values())
+        return round(max(0.0, deepest - ROUNDING), 3)
+
+    def percentile_ms(self, percent: int) -> float | None:
+        """Return a percentile of the latencies in milliseconds."""
+        if len(self.latencies) < 2:
+            return None
+        cuts = statistics.quantiles(self.latencies, n=100, method="inclusive")
+        return round(cuts[percent - 1] * 1000, 1)
+
+
+ROUNDING = 1e-6
+
+
+def _bucket(workspace) -> ReferenceBucket:
+    return ReferenceBucket(workspace.rate, workspace.burst)
+
+
+def excess_of_cap(times: list[float], cap: float, burst: float) -> float:
+    """Return by how many requests a stream went beyond a cap."""
+    bucket = ReferenceBucket(cap, burst)
+    for at in sorted(times):
+        bucket.spend(at)
+    return round(max(0.0, bucket.deepest - ROUNDING), 2) if times else 0.0
