Give parts back when a ledger write certainly failed

The rebalancer had lowered parts for a version that it then could not write, so that 45 % of the rate was left until the store came back. Ruled out: loans (they work without the store). Change: each fall names its attempt, and that attempt is taken back after a write that was refused. Also the stand-in of the store returned another write's version when two overlapped, which made a lease holder lose its lease. Replays run with a fixed schedule.

--- a/packages/coordination/plantainshed_coordination/budgets.py
+++ b/packages/coordination/plantainshed_coordination/budgets.py
@@ -239,6 +239,10 @@
         self.set_units(units)
         return Lowered(units, before - self.level)
 
+    def restore(self, units: int, level: float):
+        """Take back what `lower_to` gave up."""
+        self.set_units(units, level)
+
     def wanted(self) -> float:
         """Return how much this VM's callers ask for."""
         return self.demand.read()
@@ -334,6 +338,10 @@
         self.units = min(self.units, max(units, busy))
         return Lowered(self.units)
 
+    def restore(self, units: int, level: float):
+        """Take back what `lower_to` gave up."""
+        self.units = units
+
     def wanted(self) -> float:
         """Return how many this VM's callers could use; forgets old peaks."""
         busy = float(self.in_use + len(self.lent))
--- a/packages/coordination/plantainshed_coordination/holdings.py
+++ b/packages/coordination/plantainshed_coordination/holdings.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable, Iterable
 
+from attrs import define, field
+
 from .budgets import (
     PART_OF_KIND,
     BudgetKind,
@@ -22,12 +24,32 @@
     LowerParts,
     Part,
     PartsLowered,
+    RestoreParts,
     SetParts,
 )
 
 AnyPart = RatePart | CountPart
 
 
+@define
+class LoweredParts:
+    """What this VM gave up for a version that is about to be written.
+
+    Parameters
+    ----------
+    mark : str
+        The attempt that asked.
+    units : dict of str to int
+        Units held before, by budget.
+    levels : dict of str to float
+        Tokens given up, by budget.
+    """
+
+    mark: str
+    units: dict[str, int] = field(factory=dict)
+    levels: dict[str, float] = field(factory=dict)
+
+
 class Holdings:
     """All parts of this VM, by budget.
 
@@ -55,10 +77,12 @@
         self.applied_version: dict[str, int] = {}
         self.rebalancer_of: dict[str, str] = {}
         self.leaving = False
+        self._lowered: dict[str, LoweredParts] = {}
         self.choose_from_group: Callable[[str], str | None] = lambda name: None
         network.handlers["loan_request"] = self._on_loan_request
         network.handlers["loan_return"] = self._on_loan_return
         network.handlers["lower_parts"] = self._on_lower_parts
+        network.handlers["restore_parts"] = self._on_restore_parts
         network.handlers["set_parts"] = self._on_set_parts
 
     def set_specs(self, specs: Iterable[BudgetSpec]):
@@ -123,6 +147,7 @@
             # Late: a newer version, or a promise to a newer one, stands.
             # Believing it would raise a part that was already given up.
             return
+        self._lowered.pop(message.shard, None)
         is_first = version > self.applied_version.get(message.shard, 0)
         self.known_version[message.shard] = version
         self.applied_version[message.shard] = version
@@ -161,14 +186,37 @@
             return PartsLowered()
         self.known_version[message.shard] = message.for_version
         lowered = PartsLowered()
+        before = self._lowered[message.shard] = LoweredParts(message.mark)
         for item in message.parts:
             part = self.parts.get(item.budget)
+            units = part.units if part else 0
             left = part.lower_to(item.units) if part else Lowered(0)
+            before.units[item.budget] = units
+            before.levels[item.budget] = left.level
             lowered.parts.append(
                 Part(budget=item.budget, units=left.units, level=left.level)
             )
         return lowered
 
+    async def _on_restore_parts(self, sender, message: RestoreParts):
+        self.restore(message)
+        return Ack()
+
+    def restore(self, message: RestoreParts):
+        """Take back what was given up for a version that will not be written.
+
+        Only the very attempt that this VM answered last can be taken back: if
+        another rebalancer asked since, what was given up is promised to it.
+        """
+        lowered = self._lowered.pop(message.shard, None)
+        if lowered is None or lowered.mark != message.mark or self.leaving:
+            return
+        for name, units in lowered.units.items():
+            part = self.parts.get(name)
+            if part is not None:
+                part.restore(units, lowered.levels[name])
+        self.known_version[message.shard] = self.applied_version.get(message.shard, 0)
+
     async def _on_loan_request(self, sender, message: LoanRequest):
         if not self.is_awake():
             return LoanGrant()
--- a/packages/coordination/plantainshed_coordination/leases.py
+++ b/packages/coordination/plantainshed_coordination/leases.py
@@ -79,9 +79,10 @@
         """Take or renew the lease if that is possible now."""
         began_at = trio.current_time()
         try:
-            await self._look()
-            if not self._may_take():
-                return False
+            if not self.is_held:
+                await self._look()
+                if not self._may_take():
+                    return False
             await self._write(self.holder)
         except PlatformError:
             return self.is_held
--- a/packages/coordination/plantainshed_coordination/rebalancer.py
+++ b/packages/coordination/plantainshed_coordination/rebalancer.py
@@ -5,6 +5,7 @@
 rebalancers harmless is the ledger's version, on which each write depends.
 """
 
+import contextlib
 from collections.abc import Iterable
 
 import trio
@@ -13,14 +14,14 @@
 from .budgets import BudgetKind, BudgetSpec, Lowered
 from .digests import rendezvous_order
 from .division import divide
-from .errors import CoordinationError, PeerError
+from .errors import CoordinationError, PeerError, PlatformUnavailable
 from .holdings import Holdings
 from .identity import holder_name, split_holder
 from .leases import Lease
 from .ledger import Ledger, LedgerEntry, read_ledger, shard_of, write_ledger
 from .membership import Membership
 from .network import PeerNetwork
-from .peer_pb2 import DemandReport, LowerParts, Part, SetParts
+from .peer_pb2 import DemandReport, LowerParts, Part, RestoreParts, SetParts
 from .platform import Platform
 
 PERIOD_S = 1.0
@@ -81,6 +82,7 @@
         self.ledger: Ledger | None = None
         self.reports: dict[str, HeardReport] = {}
         self.writes = 0
+        self.marks = 0
         self.levels: dict[tuple[str, str], float] = {}
 
     async def run(self, candidates):
@@ -158,7 +160,8 @@
         targets = self._targets(before)
         after = evolve(before, entries=dict(before.entries))
         falls = list(self._falls(before, targets))
-        lowered = await self._collect(falls, before.version + 1)
+        mark = self._next_mark(before.version + 1)
+        lowered = await self._collect(falls, before.version + 1, mark)
         changed = False
         levels: dict[tuple[str, str], float] = {}
         for name, wanted_parts in targets.items():
@@ -170,7 +173,34 @@
             changed = True
             del after.entries[name]
         if changed or self._somebody_waits_for(before.version):
-            await self._publish(before, after, levels)
+            try:
+                await self._publish(before, after, levels, mark)
+            except PlatformUnavailable:
+                await self._take_back(falls, mark)
+                raise
+
+    async def _take_back(self, falls: list[Fall], mark: str):
+        """Give lowered parts back after a write that certainly failed.
+
+        Falls come before the write, so that an outage of the store would
+        leave the fleet with a fraction of each rate until it is over.
+        """
+        message = RestoreParts(shard=self.shard, mark=mark)
+        async with trio.open_nursery() as nursery:
+            for holder in {fall.holder for fall in falls}:
+                nursery.start_soon(self._restore, holder, message)
+
+    async def _restore(self, holder: str, message: RestoreParts):
+        vm, _ = split_holder(holder)
+        if vm == self.membership.identity.vm:
+            self.holdings.restore(message)
+            return
+        with contextlib.suppress(PeerError):
+            await self.network.ask(vm, "restore_parts", message, ASK_TIMEOUT_S)
+
+    def _next_mark(self, version: int) -> str:
+        self.marks += 1
+        return f"{self.membership.identity.holder}/{version}/{self.marks}"
 
     def _somebody_waits_for(self, version: int) -> bool:
         """Tell whether a holder gave something up for a version never written.
@@ -275,7 +305,7 @@
                 if not self._is_over(holder) and target.get(holder, 0) < units:
                     yield Fall(holder, name, target.get(holder, 0))
 
-    async def _collect(self, falls: list[Fall], for_version: int):
+    async def _collect(self, falls: list[Fall], for_version: int, mark: str):
         """Ask for all falls at once; return what each holder says it keeps."""
         kept: dict[tuple[str, str], Lowered] = {}
         by_holder: dict[str, list[Fall]] = {}
@@ -283,11 +313,13 @@
             by_holder.setdefault(fall.holder, []).append(fall)
         async with trio.open_nursery() as nursery:
             for holder, items in by_holder.items():
-                nursery.start_soon(self._ask_to_lower, holder, items, for_version, kept)
+                message = LowerParts(
+                    shard=self.shard, for_version=for_version, mark=mark
+                )
+                nursery.start_soon(self._ask_to_lower, holder, items, message, kept)
         return kept
 
-    async def _ask_to_lower(self, holder, falls, for_version, kept):
-        message = LowerParts(shard=self.shard, for_version=for_version)
+    async def _ask_to_lower(self, holder, falls, message, kept):
         for fall in falls:
             message.parts.append(Part(budget=fall.budget, units=fall.units))
         vm, incarnation = split_holder(holder)
@@ -353,9 +385,8 @@
             (holder, name): given_up * units / total for holder, units in raised.items()
         }
 
-    async def _publish(self, before: Ledger, after: Ledger, levels):
+    async def _publish(self, before: Ledger, after: Ledger, levels, mark: str):
         version = before.version + 1
-        mark = f"{self.membership.identity.holder}/{version}/{self.writes}"
         self.ledger = await write_ledger(
             self.platform, evolve(after, version=version, writer=mark)
         )
--- a/packages/entry/plantainshed_entry/routing.py
+++ b/packages/entry/plantainshed_entry/routing.py
@@ -6,6 +6,7 @@
 """
 
 import contextlib
+import itertools
 
 import trio
 from attrs import frozen
@@ -63,6 +64,7 @@
         self.targets = targets
         self.in_force: InForce | None = None
         self.queues: dict[str, SlotQueue] = {}
+        self._asked = itertools.count()
         self._full_until: dict[tuple[str, str], float] = {}
 
     async def run(self):
@@ -152,7 +154,7 @@
             return None
         own = self.membership.identity.vm
         live = [v for v in self.membership.live_in_domain(failure_domain) if v != own]
-        lenders = rendezvous_order(call.request_id, live)[:LENDERS_ASKED]
+        lenders = rendezvous_order(str(next(self._asked)), live)[:LENDERS_ASKED]
         loan = await self.lending.borrow_count(POOL_PREFIX + call.pool.name, lenders)
         if loan is None:
             self._full_until[key] = trio.current_time() + FULL_FOR_S
--- a/packages/measure/plantainshed_measure/__main__.py
+++ b/packages/measure/plantainshed_measure/__main__.py
@@ -53,7 +53,7 @@
         runs on a clock of its own that no load on the machine can change.
     """
     began_at = time.monotonic()
-    paths = sorted(Path(root, "traces").glob(f"*{only}*.jsonl"))
+    paths = sorted(p for p in Path(root, "traces").glob("*.jsonl") if only in p.name)
     policies = [p for p in POLICIES if policy in ("", p.name)]
     examples = Path(root, "examples")
     with ProcessPoolExecutor(jobs) as pool:
--- a/packages/measure/plantainshed_measure/replay.py
+++ b/packages/measure/plantainshed_measure/replay.py
@@ -4,11 +4,11 @@
 from pathlib import Path
 
 import trio
-import trio.testing
 
 from plantainshed_entry.in_force import SHIFT_BURST_S
 from plantainshed_model.codec import from_text
 from plantainshed_model.document import Document
+from plantainshed_standins.memory_network import run_deterministically
 
 from .callers import Callers
 from .faults import FAULTS
@@ -26,14 +26,7 @@
 def replay(trace: Trace, examples: Path, policy: Policy, vms_a_domain=VMS_A_DOMAIN):
     """Replay a trace and return its figures by name."""
     document = from_text((examples / trace.deployment / "document.json").read_text())
-    return trio.run(
-        _replay,
-        trace,
-        document,
-        policy,
-        vms_a_domain,
-        clock=trio.testing.MockClock(autojump_threshold=0),
-    )
+    return run_deterministically(_replay, trace, document, policy, vms_a_domain)
 
 
 async def _replay(trace: Trace, document: Document, policy: Policy, vms_a_domain: int):
--- a/packages/standins/plantainshed_standins/memory_network.py
+++ b/packages/standins/plantainshed_standins/memory_network.py
@@ -1,10 +1,14 @@
-"""A network in memory that can lose, delay, repeat, reorder and cut."""
+"""A network in memory that can lose, delay, repeat, reorder and cut.
+
+With `run_deterministically` a run on the mock clock goes the same way each time.
+"""
 
 import math
 import random
 from collections.abc import Callable
 
 import trio
+import trio.testing
 from attrs import define
 
 from plantainshed_coordination.errors import PeerTimeout
@@ -32,6 +36,20 @@
     is_cut: Callable[[str, str], bool] = lambda sender, receiver: False
 
 
+def run_deterministically(function, *arguments, seed: int = 1):
+    """Run an async function on a clock that jumps, the same way each time.
+
+    trio shuffles tasks that become ready together, so that nobody relies on
+    their order; with its hook for tests the shuffle follows a seed.
+    """
+    scheduler = trio._core._run
+    scheduler._ALLOW_DETERMINISTIC_SCHEDULING = True
+    scheduler._r.seed(seed)
+    random.seed(seed)
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    return trio.run(function, *arguments, clock=clock)
+
+
 class MemoryNetwork:
     """Joins `MemoryTransport` ends; the same seed gives the same faults.
 
--- a/packages/standins/plantainshed_standins/memory_platform.py
+++ b/packages/standins/plantainshed_standins/memory_platform.py
@@ -74,13 +74,14 @@
         if (stored.version if stored else ABSENT) != expected_version:
             raise VersionConflict(f"{kind}/{name} is not at {expected_version}")
         self._last_version += 1
-        self.objects[kind, name] = StoredObject(kind, name, self._last_version, value)
+        version = self._last_version
+        self.objects[kind, name] = StoredObject(kind, name, version, value)
         async with self._changed:
             self._changed.notify_all()
         if self.faults.lose_answers:
             self.faults.lose_answers -= 1
             raise OutcomeUnknown(f"PUT {kind}/{name}: the answer was lost")
-        return self._last_version
+        return version
 
     async def list_objects(self, kind: str) -> list[StoredObject]:
         """Return all objects of a kind."""
--- /dev/null
+++ b/tests/coordination/test_budgets.py
@@ -0,0 +1,140 @@
+"""A VM's part of a budget."""
+
+import unittest
+
+import trio
+
+from plantainshed_coordination.budgets import (
+    LOAN_HELD_S,
+    LOAN_USABLE_S,
+    RATE_UNITS,
+    BudgetKind,
+    BudgetSpec,
+    CountPart,
+    RatePart,
+)
+from tests.support import WORKSPACE, on_mock_clock
+
+
+def full_part(share=1.0):
+    part = RatePart(WORKSPACE)
+    part.set_units(int(RATE_UNITS * share), level=WORKSPACE.burst)
+    return part
+
+
+class TestRatePart(unittest.TestCase):
+    @on_mock_clock
+    async def test_gives_burst_then_rate(self):
+        part = full_part()
+        taken = sum(part.try_take() for _ in range(100))
+        self.assertEqual(taken, 30)
+        await trio.sleep(0.1)
+        self.assertEqual(sum(part.try_take() for _ in range(100)), 5)
+
+    @on_mock_clock
+    async def test_raised_part_starts_without_tokens(self):
+        part = RatePart(WORKSPACE)
+        part.set_units(RATE_UNITS)
+        self.assertFalse(part.try_take())
+
+    @on_mock_clock
+    async def test_refill_beside_a_loan_mints_nothing(self):
+        """A workspace gets more than its burst at once, now and then.
+
+        A full lender lends 10, refills them while they are on their way, and
+        then holds its whole burst beside the 10 that the borrower uses.
+        """
+        lender = full_part()
+        lent = lender.lend(10)
+        await trio.sleep(LOAN_USABLE_S)
+        lender.refill()
+        self.assertLessEqual(lender.level + lent, WORKSPACE.burst)
+
+    @on_mock_clock
+    async def test_late_loan_is_worth_nothing(self):
+        """A paused VM wakes and admits with tokens that the lender has again.
+
+        The borrower asks, is paused, the lender's hold on the tokens ends and
+        it refills; then the borrower reads the answer and uses them as well.
+        """
+        borrower = RatePart(WORKSPACE)
+        asked_at = trio.current_time()
+        await trio.sleep(LOAN_HELD_S)
+        borrower.receive_loan(5.0, asked_at)
+        self.assertFalse(borrower.try_take())
+
+    @on_mock_clock
+    async def test_share_on_loan_cannot_be_given_up(self):
+        """Overshoot by what was on loan when a part was moved away.
+
+        A part lends its tokens, is asked to fall to nothing, and its share is
+        given to another VM while the borrower still uses the loan.
+        """
+        lender = full_part()
+        lender.lend(15)
+        left = lender.lower_to(0)
+        self.assertGreaterEqual(left.units, RATE_UNITS // 2)
+
+    @on_mock_clock
+    async def test_lowered_part_says_what_it_gave_up(self):
+        part = full_part()
+        left = part.lower_to(RATE_UNITS // 4)
+        self.assertAlmostEqual(left.level, WORKSPACE.burst * 0.75, places=3)
+
+
+class TestCountPart(unittest.TestCase):
+    def setUp(self):
+        self.spec = BudgetSpec("slots/t", BudgetKind.COUNT, count=4)
+
+    @on_mock_clock
+    async def test_loans_count_as_used(self):
+        part = CountPart(self.spec)
+        part.set_units(2)
+        self.assertTrue(part.lend("g1", ("b-1", 1)))
+        self.assertTrue(part.try_take())
+        self.assertFalse(part.try_take())
+
+    @on_mock_clock
+    async def test_repeated_grant_lends_one(self):
+        part = CountPart(self.spec)
+        part.set_units(2)
+        part.lend("g1", ("b-1", 1))
+        part.lend("g1", ("b-1", 1))
+        self.assertEqual(part.free, 1)
+
+    @on_mock_clock
+    async def test_late_request_of_a_returned_loan_lends_nothing(self):
+        """A target loses a slot for good, although nobody uses it.
+
+        A loan is asked for twice, returned, and then the second, late copy of
+        the request arrives; nobody would ever return that one.
+        """
+        part = CountPart(self.spec)
+        part.set_units(2)
+        part.lend("g1", ("b-1", 1))
+        part.take_back("g1")
+        self.assertFalse(part.lend("g1", ("b-1", 1)))
+        self.assertEqual(part.free, 2)
+
+    @on_mock_clock
+    async def test_loans_to_gone_runs_come_back(self):
+        part = CountPart(self.spec)
+        part.set_units(1)
+        part.lend("g1", ("b-1", 1))
+        part.take_back_from_gone(lambda vm, incarnation: vm == "b-1")
+        self.assertEqual(part.free, 1)
+
+    @on_mock_clock
+    async def test_falls_only_as_far_as_not_in_use(self):
+        part = CountPart(self.spec)
+        part.set_units(4)
+        part.try_take()
+        part.lend("g1", ("b-1", 1))
+        self.assertEqual(part.lower_to(0).units, 2)
+
+    @on_mock_clock
+    async def test_smaller_count_binds_before_the_ledger_follows(self):
+        part = CountPart(self.spec)
+        part.set_units(4, total=4)
+        part.set_spec(BudgetSpec("slots/t", BudgetKind.COUNT, count=2))
+        self.assertEqual(part.usable, 2)
--- /dev/null
+++ b/tests/support.py
@@ -0,0 +1,172 @@
+"""Shared helpers: running on the pausable clock, small fleets of parts."""
+
+import contextlib
+import functools
+
+import trio
+
+from plantainshed_coordination.budgets import BudgetKind, BudgetSpec
+from plantainshed_coordination.holdings import Holdings
+from plantainshed_coordination.identity import Identity
+from plantainshed_coordination.ledger import domain_shard, fleet_shards
+from plantainshed_coordination.lending import Lending
+from plantainshed_coordination.members import MemberState
+from plantainshed_coordination.membership import Membership, SeedMember
+from plantainshed_coordination.network import PeerNetwork
+from plantainshed_coordination.operations import OperationBook
+from plantainshed_coordination.peer_pb2 import MemberRecord
+from plantainshed_coordination.platform import ListedVm
+from plantainshed_coordination.rebalancer import DemandReporter, Rebalancer
+from plantainshed_coordination.rumors import RumorBook
+from plantainshed_standins.memory_network import MemoryNetwork, run_deterministically
+from plantainshed_standins.memory_platform import MemoryPlatform
+
+TEST_TIMEOUT_S = 3600
+WORKSPACE = BudgetSpec("workspace/comune", BudgetKind.RATE, rate=50.0, burst=30.0)
+
+
+def on_mock_clock(function):
+    """Run an async test on a clock that jumps whenever everybody waits."""
+
+    @functools.wraps(function)
+    def run(self):
+        async def body():
+            with trio.fail_after(TEST_TIMEOUT_S):
+                await function(self)
+
+        run_deterministically(body)
+
+    return run
+
+
+def on_real_clock(function):
+    """Run an async test that uses real sockets; nothing asserts durations."""
+
+    @functools.wraps(function)
+    def run(self):
+        async def body():
+            with trio.fail_after(60):
+                await function(self)
+
+        trio.run(body)
+
+    return run
+
+
+class PartsVm:
+    """The coordination parts of one VM, without the entry daemon."""
+
+    def __init__(self, fleet: "PartsFleet", vm: str, incarnation: int):
+        domain = fleet.domains[vm]
+        identity = Identity(vm, domain, incarnation)
+        self.transport = fleet.network.open(vm)
+        self.network = PeerNetwork(identity, self.transport)
+        seeds = [SeedMember(n, d, n) for n, d in fleet.domains.items()]
+        record = MemberRecord(
+            vm=vm,
+            failure_domain=domain,
+            incarnation=incarnation,
+            revision=1,
+            state=MemberState.READY,
+            peer=vm,
+            control=vm,
+            operation_epoch=1,
+        )
+        self.platform = fleet.platform_of(vm)
+        self.membership = Membership(
+            identity, self.network, self.platform, seeds, record
+        )
+        self.membership.update_record(state=MemberState.READY, listen=vm)
+        self.rumors = RumorBook(self.network, self.membership)
+        self.holdings = Holdings(self.network, self.membership.is_awake)
+        self.holdings.set_specs(fleet.specs)
+        self.lending = Lending(self.network, self.membership, self.holdings)
+        self.operations = OperationBook(self.network, self.membership)
+        self.rebalancers = {
+            shard: Rebalancer(
+                shard, self.platform, self.network, self.membership, self.holdings
+            )
+            for shard in [*fleet_shards(), domain_shard(domain)]
+        }
+        self.reporter = DemandReporter(
+            self.network, self.membership, self.holdings, self.rebalancers
+        )
+        self.scope = trio.CancelScope()
+        self.domain = domain
+
+    async def run(self):
+        with self.scope:
+            async with trio.open_nursery() as nursery:
+                for part in (
+                    self.network,
+                    self.membership,
+                    self.rumors,
+                    self.lending,
+                    self.operations,
+                    self.reporter,
+                ):
+                    nursery.start_soon(part.run)
+                for shard, rebalancer in self.rebalancers.items():
+                    nursery.start_soon(rebalancer.run, self._candidates(shard))
+
+    def _candidates(self, shard):
+        if shard == domain_shard(self.domain):
+            return lambda: self.membership.live_in_domain(self.domain)
+        return self.membership.usable_vms
+
+    @property
+    def part(self):
+        """The first budget's part."""
+        return next(iter(self.holdings.parts.values()))
+
+
+class PartsFleet:
+    """A few `PartsVm` on one network in memory."""
+
+    def __init__(self, domains, specs=(WORKSPACE,), seed=1, platform_of=None):
+        self.domains = dict(domains)
+        self.specs = list(specs)
+        self.network = MemoryNetwork(seed)
+        self.platform = MemoryPlatform()
+        self.platform_of = platform_of or (lambda vm: self.platform)
+        self.vms: dict[str, PartsVm] = {}
+        self.incarnation = 0
+        self.nursery = None
+
+    def start(self, vm: str) -> PartsVm:
+        self.incarnation += 1
+        started = self.vms[vm] = PartsVm(self, vm, self.incarnation)
+        self.platform.vms[vm] = ListedVm(vm, leaving=False)
+        self.nursery.start_soon(started.run)
+        return started
+
+    def kill(self, vm: str):
+        self.vms.pop(vm).scope.cancel()
+        self.network.ends.pop(vm, None)
+
+    def cut(self, *groups):
+        """Let datagrams pass inside each group of VMs only."""
+        group_of = {vm: index for index, group in enumerate(groups) for vm in group}
+
+        def is_cut(sender, receiver):
+            return group_of.get(sender) != group_of.get(receiver)
+
+        self.network.faults.is_cut = is_cut
+
+    def heal(self):
+        self.network.faults.is_cut = lambda sender, receiver: False
+
+    @contextlib.asynccontextmanager
+    async def running(self):
+        async with trio.open_nursery() as nursery:
+            self.nursery = nursery
+            for vm in self.domains:
+                self.start(vm)
+            yield self.vms
+            nursery.cancel_scope.cancel()
+
+    def units(self, budget=WORKSPACE.name) -> int:
+        return sum(vm.holdings.parts[budget].units for vm in self.vms.values())
+
+
+FOUR_VMS = (("a-1", "a"), ("a-2", "a"), ("b-1", "b"), ("b-2", "b"))
