Hold all of a pool's traffic between a shift's regions under its cap

Cause: at Maracas Bay with demand rising, 6.5 requests more than the cap's bucket were run in the receiving region: the old region overflowed into it, and callers with old answers still came after the shift was reversed.

--- a/packages/entry/plantainshed_entry/call.py
+++ b/packages/entry/plantainshed_entry/call.py
@@ -31,6 +31,8 @@
         The whole body when it is small enough to be sent again.
     exchange : Exchange or None
         The caller's connection.
+    moved_by : str
+        Shift under whose cap it was counted.
     """
 
     request_id: str
@@ -46,6 +48,7 @@
     exchange: object | None = None
     fingerprint: str = ""
     attempts: int = 0
+    moved_by: str = ""
     began_at: float = field(factory=trio.current_time)
     cancel_scope: trio.CancelScope | None = None
 
--- a/packages/entry/plantainshed_entry/plan.py
+++ b/packages/entry/plantainshed_entry/plan.py
@@ -38,11 +38,22 @@
 
 @frozen
 class PlannedShift:
-    """A shift that is running, as the plan sees it."""
+    """A shift as the plan sees it.
+
+    Parameters
+    ----------
+    from_region, to_region : str
+        In the direction in which it moves now.
+    cap : float
+        Requests a second that may pass between the two regions at all.
+    is_running : bool
+        Whether it moves traffic at present.
+    """
 
     from_region: str
     to_region: str
     cap: float
+    is_running: bool = True
 
 
 Shares = dict[str, dict[str, float]]
@@ -79,6 +90,12 @@
     """
     room = _Room({name: p.capacity * HEADROOM for name, p in places.items()})
     links = _Room({pair: rate * LINK_SHARE for pair, rate in link_rate.items()})
+    for shift in shifts:
+        # Whatever crosses between its regions is under the shift's cap, also
+        # what overflows: the link is narrowed to it.
+        pair = _region_pair(shift.from_region, shift.to_region)
+        capped = min(links.left.get(pair, 0.0), shift.cap * CAP_MARGIN)
+        links.left[pair] = capped
     rates: Shares = {name: {} for name in places}
     left = {name: place.demand for name, place in places.items()}
     _move_by_shifts(places, shifts, room, links, rates, left)
@@ -98,7 +115,7 @@
         goals = [p for p in places.values() if p.region == shift.to_region]
         demand = sum(place.demand for place in sources)
         capacity = sum(place.capacity for place in goals)
-        if demand <= 0 or capacity <= 0:
+        if demand <= 0 or capacity <= 0 or not shift.is_running:
             continue
         moved = min(shift.cap * CAP_MARGIN, demand)
         for source in sources:
@@ -132,7 +149,11 @@
 
 
 def _pair(here: Place, there: Place) -> tuple[str, str]:
-    first, second = sorted((here.region, there.region))
+    return _region_pair(here.region, there.region)
+
+
+def _region_pair(region_a: str, region_b: str) -> tuple[str, str]:
+    first, second = sorted((region_a, region_b))
     return first, second
 
 
--- a/packages/entry/plantainshed_entry/routing.py
+++ b/packages/entry/plantainshed_entry/routing.py
@@ -14,7 +14,7 @@
 from plantainshed_coordination.digests import rendezvous_order
 from plantainshed_coordination.lending import BorrowedCount, Lending
 from plantainshed_coordination.membership import Membership
-from plantainshed_model.document import ShiftState
+from plantainshed_model.document import Shift
 
 from .call import Call
 from .errors import Refusal
@@ -94,7 +94,7 @@
 
     async def _find(self, call: Call, excluded, alone) -> Slot:
         queue = self.queues.setdefault(call.pool.name, SlotQueue())
-        domains = await self._domains_for(call)
+        domains = self._domains_for(call)
         give_up_at = trio.current_time() + self._patience(call)
         if not queue.length:
             slot = await self._try_domains(call, domains, excluded, alone)
@@ -137,6 +137,8 @@
     async def _try_domains(self, call, domains, excluded, alone) -> Slot | None:
         own_domain = self.membership.identity.failure_domain
         for failure_domain in domains:
+            if not await self._is_within_cap(call, failure_domain):
+                continue
             if failure_domain == own_domain:
                 state = self.targets.take_slot(
                     call.pool.name, own_domain, excluded, alone
@@ -197,27 +199,40 @@
 
     # Which failure domains, in which order.
 
-    async def _domains_for(self, call: Call) -> list[str]:
+    def _domains_for(self, call: Call) -> list[str]:
         own = self.membership.identity.failure_domain
         own_region = self.in_force.region_of(own)
-        home_region = self.in_force.region_of(call.home_domain)
-        if home_region and home_region != own_region:
-            shift = self._shift_of(call, home_region, own_region)
-            if shift and not await self.lending.take(SHIFT_PREFIX + shift.name):
-                # Above the cap the request stays traffic of its own region,
-                # whichever VM it came to: its targets there run it.
-                return self._domains_of_region(home_region)
         by_distance = self._domains_of_region(own_region, first=own)
         others = sorted(set(self.in_force.region_by_domain) - set(by_distance))
         far = rendezvous_order(own, others)
+        # A caller that was sent to another region and finds no room there is
+        # best served by its own.
+        home_region = self.in_force.region_of(call.home_domain)
+        far.sort(key=lambda name: self.in_force.region_of(name) != home_region)
         return by_distance + [name for name in far if self._is_reachable(name)]
 
-    def _shift_of(self, call: Call, home_region: str, own_region: str):
+    async def _is_within_cap(self, call: Call, failure_domain: str) -> bool:
+        """Tell whether a request may run in a domain under the shifts' caps.
+
+        As long as a shift is listed, all traffic of its pool between its two
+        regions is under its cap, whatever sent it there: an operator who
+        moves 20 requests a second does not want 50 arrive because the old
+        region overflows meanwhile, or because callers keep old answers.
+        """
+        shift = self._shift_between(call, failure_domain)
+        if shift is None or call.moved_by == shift.name:
+            return True
+        if not await self.lending.take(SHIFT_PREFIX + shift.name):
+            return False
+        call.moved_by = shift.name
+        return True
+
+    def _shift_between(self, call: Call, failure_domain: str) -> Shift | None:
+        home = self.in_force.region_of(call.home_domain)
+        there = self.in_force.region_of(failure_domain)
         for shift in self.in_force.document.shifts:
-            ends = (shift.from_region, shift.to_region)
-            if shift.state is ShiftState.REVERSED:
-                ends = ends[::-1]
-            if shift.pool == call.pool.name and ends == (home_region, own_region):
+            ends = {shift.from_region, shift.to_region}
+            if shift.pool == call.pool.name and home != there and ends == {home, there}:
                 return shift
         return None
 
--- a/packages/entry/plantainshed_entry/steering.py
+++ b/packages/entry/plantainshed_entry/steering.py
@@ -88,12 +88,13 @@
     def _shifts(self, pool: Pool) -> list[PlannedShift]:
         planned = []
         for shift in self.in_force.document.shifts:
-            if shift.pool != pool.name or shift.state is ShiftState.STOPPED:
+            if shift.pool != pool.name:
                 continue
             ends = (shift.from_region, shift.to_region)
             if shift.state is ShiftState.REVERSED:
                 ends = ends[::-1]
-            planned.append(PlannedShift(*ends, shift.cap))
+            is_running = shift.state is not ShiftState.STOPPED
+            planned.append(PlannedShift(*ends, shift.cap, is_running))
         return planned
 
     def _link_rates(self) -> dict[tuple[str, str], float]:
