Ask what is left before borrowing; poll the store for leases rarely

Change: VMs are first asked what they have left, and nothing is borrowed that would not make a whole token.

--- a/packages/coordination/plantainshed_coordination/lending.py
+++ b/packages/coordination/plantainshed_coordination/lending.py
@@ -9,7 +9,7 @@
 import trio
 from attrs import frozen
 
-from .budgets import RatePart
+from .budgets import ROUNDING, RatePart
 from .digests import rendezvous_order
 from .errors import PeerError
 from .holdings import Holdings
@@ -18,14 +18,15 @@
 from .peer_pb2 import LoanRequest, LoanReturn
 
 LOAN_TIMEOUT_S = 0.12
-WAVES = (3, 4, 8)
+ASKED_AT_ONCE = 8
+TRIES_A_ROUND = 2
 DRY_MIN_S = 0.02
 DRY_MAX_S = 0.32
 PREFETCH_S = 0.05
 MAX_REFILL_WAIT_S = 0.05
 MAX_ROUNDS = 2
 RETURN_RETRY_S = 0.5
-MIN_LOAN = 1e-6
+MIN_LOAN = 1e-3
 LEFT_FRESH_S = 0.5
 
 
@@ -146,16 +147,16 @@
     async def _ask_peers(self, name: str, part: RatePart):
         self.rounds += 1
         ahead = part.demand.read() * PREFETCH_S
-        asked: set[str] = set()
-        for size in WAVES:
+        for _ in range(TRIES_A_ROUND):
             missing = self._waiting[name] - part.available()
-            wave = self._wave(name, asked, missing, size) if missing > 0 else []
-            if not wave:
+            if missing <= 0:
+                break
+            await self._learn_what_is_left(name, missing)
+            plan = self._plan_loans(name, missing, ahead)
+            if not plan:
                 break
-            asked.update(wave)
-            amount = (missing + ahead) / len(wave)
             async with trio.open_nursery() as nursery:
-                for vm in wave:
+                for vm, amount in plan.items():
                     nursery.start_soon(self._borrow_tokens, vm, name, part, amount)
             part.refill()
         if part.available() >= 1:
@@ -168,28 +169,49 @@
         length = min(DRY_MAX_S, last.length_s * 2) if last else DRY_MIN_S
         self._dry[name] = DrySpell(length, trio.current_time() + length)
 
-    def _wave(self, name: str, asked: set[str], missing: float, size: int) -> list[str]:
-        """Return whom to ask next.
+    async def _learn_what_is_left(self, name: str, missing: float):
+        """Ask some VMs what they have left, unless enough is known of.
 
-        One VM that is known to have enough is asked for all of it. Otherwise
-        several are asked for an equal part each; their answers say who has
-        more, and the next wave goes there.
+        Nothing is lent yet: tokens collected from several that turn out not to
+        make a whole one would be lost to everybody.
         """
+        known = self._known_left(name)
+        if max(known.values(), default=0.0) >= missing:
+            return
+        unknown = [vm for vm in self._others() if vm not in known]
+        order = rendezvous_order(f"{name}/{self.rounds}", unknown)
+        order.sort(key=self._is_near, reverse=True)
+        async with trio.open_nursery() as nursery:
+            for vm in order[:ASKED_AT_ONCE]:
+                nursery.start_soon(self._ask, vm, name, 0.0)
+
+    def _plan_loans(self, name: str, missing: float, ahead: float) -> dict[str, float]:
+        """Return how much to borrow from whom; nothing if it would not do."""
+        known = self._known_left(name)
+        if sum(known.values()) + ROUNDING < min(missing, 1.0):
+            return {}
+        wanted = missing + ahead
+        plan = {}
+        for vm in sorted(known, key=known.get, reverse=True):
+            amount = min(known[vm], wanted)
+            if amount <= MIN_LOAN:
+                break
+            plan[vm] = amount
+            wanted -= amount
+        return plan
+
+    def _others(self) -> list[str]:
         own = self.membership.identity.vm
-        left = {
-            vm: self._left_at(name, vm)
-            for vm in self.membership.usable_vms()
-            if vm != own
-        }
-        if not left:
-            return []
-        order = rendezvous_order(f"{name}/{self.rounds}", left)
-        order.sort(key=lambda vm: (left[vm] or 0.0, self._is_near(vm)), reverse=True)
-        if (left[order[0]] or 0.0) >= missing:
-            return order[:1]
-        worth = [vm for vm in order if vm not in asked and left[vm] is None]
-        worth += [vm for vm in order if (left[vm] or 0.0) > MIN_LOAN]
-        return worth[:size]
+        return [vm for vm in self.membership.usable_vms() if vm != own]
+
+    def _known_left(self, name: str) -> dict[str, float]:
+        """Return what VMs said lately that they have left."""
+        known = {}
+        for vm in self._others():
+            left = self._left_at(name, vm)
+            if left is not None:
+                known[vm] = left
+        return known
 
     def _left_at(self, name: str, vm: str) -> float | None:
         """Return what a VM said lately that it has left; None if it is not known."""
@@ -204,14 +226,18 @@
 
     async def _borrow_tokens(self, vm: str, name: str, part: RatePart, amount: float):
         asked_at = trio.current_time()
-        request = LoanRequest(budget=name, amount=max(amount, MIN_LOAN))
+        part.receive_loan(await self._ask(vm, name, amount), asked_at)
+
+    async def _ask(self, vm: str, name: str, amount: float) -> float:
+        """Ask a VM for tokens; return what it lent, 0 if it did not answer."""
+        request = LoanRequest(budget=name, amount=amount)
         try:
             grant = await self.network.ask(vm, "loan_request", request, LOAN_TIMEOUT_S)
         except PeerError:
             self._last_left[name, vm] = HeardLeft(0.0, trio.current_time())
-            return
+            return 0.0
         self._last_left[name, vm] = HeardLeft(grant.left, trio.current_time())
-        part.receive_loan(grant.amount, asked_at)
+        return grant.amount
 
     # One of a count.
 
--- a/packages/coordination/plantainshed_coordination/members.py
+++ b/packages/coordination/plantainshed_coordination/members.py
@@ -6,6 +6,8 @@
 
 from .peer_pb2 import MemberRecord
 
+REPLACED_GRACE_S = 4.0
+
 
 class MemberState(IntEnum):
     """What a VM says of itself."""
@@ -46,11 +48,14 @@
         What the VM's own failure domain says of it; used for other domains.
     changed_at : float
         When the record last changed here.
+    run_since : float
+        When this incarnation was first heard of.
     """
 
     record: MemberRecord
     heard_at: float
     changed_at: float
+    run_since: float
     beat: int = 0
     verdict: Liveness = Liveness.ALIVE
 
@@ -82,7 +87,7 @@
         """Take over a record if it is newer; return whether it was."""
         known = self.members.get(record.vm)
         if known is None:
-            self.members[record.vm] = Member(_copy(record), now, now)
+            self.members[record.vm] = Member(_copy(record), now, now, now)
             return True
         old, new = _position(known.record), _position(record)
         if new <= old:
@@ -90,6 +95,7 @@
         if new[0] > old[0]:
             known.beat = 0
             known.heard_at = now
+            known.run_since = now
             known.verdict = Liveness.ALIVE
         known.record = _copy(record)
         known.changed_at = now
@@ -123,15 +129,20 @@
         superseded = known is not None and known.record.incarnation > incarnation
         return superseded or (vm, incarnation) in self.gone
 
-    def gone_since(self, vm: str, incarnation: int) -> float | None:
-        """Return when an incarnation was first known to be over, if it is."""
+    def is_over(self, vm: str, incarnation: int, now: float) -> bool:
+        """Tell whether what an incarnation held can go to others.
+
+        One that the platform took away was silent for `SILENT_S` before that
+        counted. One that was replaced may only be paused and have been heard a
+        moment ago: it is given time to be silent so long that, when it wakes,
+        it finds that out before it acts.
+        """
         if (vm, incarnation) in self.gone:
-            return self.gone[vm, incarnation]
+            return True
         known = self.members.get(vm)
-        if known is not None and known.record.incarnation > incarnation:
-            self.gone[vm, incarnation] = known.changed_at
-            return known.changed_at
-        return None
+        if known is None or known.record.incarnation <= incarnation:
+            return False
+        return now - known.run_since >= REPLACED_GRACE_S
 
 
 def _position(record: MemberRecord) -> tuple[int, int]:
--- a/packages/coordination/plantainshed_coordination/membership.py
+++ b/packages/coordination/plantainshed_coordination/membership.py
@@ -35,7 +35,7 @@
 PAUSE_S = 2.5
 WAKE_WAIT_S = 1.0
 NEWS_S = 4.0
-LIST_PERIOD_S = 5.0
+LIST_PERIOD_S = 2.0
 BEATS_A_SECOND = 8
 DELEGATES = 2
 FULL_SUMMARY_EVERY = 5
@@ -473,17 +473,14 @@
                 self._take_list(await self.platform.list_vms())
 
     def _take_list(self, listed):
+        now = trio.current_time()
         names = {item.vm for item in listed}
         self.platform_leaving = {item.vm for item in listed if item.leaving}
-        now = trio.current_time()
         for member in self.table.members.values():
             run = (member.vm, member.record.incarnation)
             if member.vm in names:
                 self.was_listed.add(run)
-            elif run in self.was_listed and self.liveness(member.vm) in (
-                Liveness.SILENT,
-                Liveness.SUSPECT,
-            ):
+            elif run in self.was_listed and self.liveness(member.vm) is Liveness.SILENT:
                 # The list lags: a VM that it does not show may be too new for
                 # it. Only one that it showed, that it dropped, and that is
                 # silent is certain to be gone.
--- a/packages/coordination/plantainshed_coordination/rebalancer.py
+++ b/packages/coordination/plantainshed_coordination/rebalancer.py
@@ -29,8 +29,8 @@
 REPORTS_A_SECOND = 200
 REPORT_FRESH_S = 6.0
 ASK_TIMEOUT_S = 0.5
-GONE_GRACE_S = 4.0
 MIN_MOVE = 0.08
+FIRST_LOOK_S = 0.5
 CANDIDACY_BASE_S = 2.0
 CANDIDACY_MAX_S = 120.0
 
@@ -101,14 +101,14 @@
                     await self._try_rebalance()
 
     async def _keep_lease(self, candidates):
+        await trio.sleep(FIRST_LOOK_S * (1 + self._rank(candidates())))
         while True:
-            rank = self._rank(candidates())
-            if self.lease.is_held or rank == 0:
-                await trio.sleep(self.lease.renewal_s if self.lease.is_held else 0.2)
-            else:
-                wait_s = min(CANDIDACY_MAX_S, CANDIDACY_BASE_S * 2**rank)
-                await trio.sleep(wait_s)
             await self._try_lease()
+            if self.lease.is_held:
+                await trio.sleep(self.lease.renewal_s)
+            else:
+                rank = self._rank(candidates())
+                await trio.sleep(min(CANDIDACY_MAX_S, CANDIDACY_BASE_S * 2**rank))
 
     def _rank(self, candidates) -> int:
         # The first in the order tries often, the others ever more rarely: one
@@ -276,11 +276,11 @@
         """Tell whether a holder's part can go to others.
 
         Certainty that the run will not act again comes from the platform or
-        from its successor. The grace on top covers a process that is paused
-        just now: when it wakes, it has been silent long enough to notice.
+        from its successor. It must also have been silent for a while: should
+        it only be paused, it finds on waking that it was and stops.
         """
-        since = self.membership.table.gone_since(*split_holder(holder))
-        return since is not None and trio.current_time() - since >= GONE_GRACE_S
+        now = trio.current_time()
+        return self.membership.table.is_over(*split_holder(holder), now)
 
     def _is_worth_it(self, spec: BudgetSpec, entry: LedgerEntry, target) -> bool:
         if entry.total != spec.units or entry.held < sum(target.values()):
--- a/packages/measure/plantainshed_measure/rig.py
+++ b/packages/measure/plantainshed_measure/rig.py
@@ -9,6 +9,7 @@
 
 from plantainshed_coordination.errors import PlatformUnavailable
 from plantainshed_coordination.identity import Identity
+from plantainshed_coordination.nurseries import open_plain_nursery
 from plantainshed_coordination.platform import ListedVm
 from plantainshed_coordination.versioned import Change, DocumentStore
 from plantainshed_entry.context import Context
@@ -27,6 +28,7 @@
 from .policies import Policy
 
 STORE_DELAY_S = 0.004
+CUT_NOTICED_S = 1.0
 REGION_DELAY_S = 0.012
 DOMAIN_DELAY_S = 0.001
 LEAVE_TIMEOUT_S = 60.0
@@ -55,11 +57,16 @@
 
     async def _watch(self, arguments):
         """Wait for a change; a cut breaks the wait as it breaks a connection."""
-        while True:
-            with trio.move_on_after(1.0):
-                return await self.rig.platform.wait_for_change(*arguments)
-            if self.rig.is_cut_from_platform(self.failure_domain):
-                raise PlatformUnavailable(f"{self.failure_domain} is cut off")
+        async with open_plain_nursery() as nursery:
+            nursery.start_soon(self._break_when_cut)
+            stored = await self.rig.platform.wait_for_change(*arguments)
+            nursery.cancel_scope.cancel()
+        return stored
+
+    async def _break_when_cut(self):
+        while not self.rig.is_cut_from_platform(self.failure_domain):
+            await trio.sleep(CUT_NOTICED_S)
+        raise PlatformUnavailable(f"{self.failure_domain} is cut off")
 
 
 class RunningVm:
