Divide half of a rate equally, the other half by demand

Cause: a lost region took 92 % of a workspace's rate with it for as long as the platform needs to notice, and an isolated domain had no more than its last demand. Loans move what is idle within a round trip, so parts need not sit where the demand is.

--- a/packages/coordination/plantainshed_coordination/division.py
+++ b/packages/coordination/plantainshed_coordination/division.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Mapping
 
-EQUAL_SHARE = 0.1
+EQUAL_SHARE = 0.5
 
 
 def divide(
