--- /dev/null
+++ b/tests/coordination/test_follower.py
@@ -0,0 +1,134 @@
+"""Following the document, from store and peers."""
+
+import unittest
+
+import trio
+
+from plantainshed_coordination.errors import DocumentError, PlatformUnavailable
+from plantainshed_coordination.follower import DocumentFollower
+from plantainshed_coordination.versioned import Change, DocumentStore
+from tests.support import FOUR_VMS, PartsFleet, on_mock_clock
+
+
+class FollowingFleet:
+    """A fleet whose VMs follow a document."""
+
+    def __init__(self):
+        self.fleet = PartsFleet(FOUR_VMS)
+        self.followers = {}
+        self.installed = {vm: [] for vm in self.fleet.domains}
+        self.bad_text = b"bad"
+
+    def follow(self, vm):
+        parts = self.fleet.vms[vm]
+
+        def install(revision, segments):
+            if self.bad_text in segments.values():
+                raise DocumentError("not valid")
+            self.installed[vm].append(revision.version)
+
+        follower = DocumentFollower(
+            DocumentStore(parts.platform), parts.transport, parts.membership, install
+        )
+        parts.transport.values = follower.value
+        self.followers[vm] = follower
+        self.fleet.nursery.start_soon(follower.run)
+
+    async def commit(self, version, text):
+        store = DocumentStore(self.fleet.platform)
+        base = version - 1
+        await store.commit(Change(base, {"s": text}, f"c{version}", "ann", "", ""))
+
+    def versions(self):
+        return {vm: f.revision.version for vm, f in self.followers.items()}
+
+
+class TestDocumentFollower(unittest.TestCase):
+    @on_mock_clock
+    async def test_reaches_everybody_within_seconds(self):
+        following = FollowingFleet()
+        async with following.fleet.running() as vms:
+            for vm in vms:
+                following.follow(vm)
+            await trio.sleep(5)
+            await following.commit(1, b"one")
+            await trio.sleep(2)
+            self.assertEqual(set(following.versions().values()), {1})
+
+    @on_mock_clock
+    async def test_fresh_vm_starts_from_a_peer_while_the_store_is_down(self):
+        """After a replacement during a store outage a VM serves nobody."""
+        following = FollowingFleet()
+        async with following.fleet.running() as vms:
+            for vm in vms:
+                following.follow(vm)
+            await following.commit(1, b"one")
+            await trio.sleep(5)
+            await following.fleet.platform.set_down(True)
+            following.fleet.kill("a-2")
+            following.fleet.start("a-2")
+            following.follow("a-2")
+            await trio.sleep(5)
+            self.assertEqual(following.versions()["a-2"], 1)
+
+    @on_mock_clock
+    async def test_never_goes_back(self):
+        following = FollowingFleet()
+        async with following.fleet.running() as vms:
+            for vm in vms:
+                following.follow(vm)
+            for version in (1, 2, 3):
+                await following.commit(version, b"text %d" % version)
+                await trio.sleep(1)
+            following.fleet.network.faults.jitter_s = 2.0
+            for version in (4, 5, 6):
+                await following.commit(version, b"text %d" % version)
+            await trio.sleep(20)
+            for versions in following.installed.values():
+                self.assertEqual(versions, sorted(set(versions)))
+                self.assertEqual(versions[-1], 6)
+
+    @on_mock_clock
+    async def test_version_that_is_not_valid_leaves_the_old_one(self):
+        """A bad document takes the fleet down.
+
+        Something writes a document that no checker has seen; each VM must
+        keep what it has, say so, and take the next good one.
+        """
+        following = FollowingFleet()
+        async with following.fleet.running() as vms:
+            for vm in vms:
+                following.follow(vm)
+            await following.commit(1, b"one")
+            await trio.sleep(2)
+            await following.commit(2, following.bad_text)
+            await trio.sleep(3)
+            self.assertEqual(set(following.versions().values()), {1})
+            self.assertIn(2, following.followers["a-1"].refused)
+            await following.commit(3, b"three")
+            await trio.sleep(8)
+            self.assertEqual(set(following.versions().values()), {3})
+
+    @on_mock_clock
+    async def test_domain_cut_off_from_the_store_hears_from_others(self):
+        following = FollowingFleet()
+        async with following.fleet.running() as vms:
+            for vm in vms:
+                following.follow(vm)
+            await trio.sleep(3)
+            for vm in ("b-1", "b-2"):
+                following.followers[vm].store = DocumentStore(DeadPlatform())
+            await trio.sleep(1)
+            await following.commit(1, b"one")
+            await trio.sleep(4)
+            self.assertEqual(set(following.versions().values()), {1})
+
+
+class DeadPlatform:
+    """A platform that never answers a watch and refuses the rest."""
+
+    async def get(self, kind, name):
+        raise PlatformUnavailable("down")
+
+    async def wait_for_change(self, kind, name, known_version):
+        await trio.sleep_forever()
--- /dev/null
+++ b/tests/coordination/test_leases.py
@@ -0,0 +1,68 @@
+"""Leases in the store."""
+
+import unittest
+
+import trio
+
+from plantainshed_coordination.leases import Lease
+from plantainshed_standins.memory_platform import MemoryPlatform
+from tests.support import on_mock_clock
+
+
+class TestLease(unittest.TestCase):
+    @on_mock_clock
+    async def test_one_holder(self):
+        platform = MemoryPlatform()
+        first, second = (Lease(platform, "x", name) for name in ("a~1", "b~1"))
+        self.assertTrue(await first.try_hold())
+        self.assertFalse(await second.try_hold())
+
+    @on_mock_clock
+    async def test_lapses_when_its_holder_stops_renewing(self):
+        platform = MemoryPlatform()
+        first, second = (Lease(platform, "x", name) for name in ("a~1", "b~1"))
+        await first.try_hold()
+        await second.try_hold()
+        await trio.sleep(first.ttl_s + 0.1)
+        self.assertFalse(first.is_held)
+        self.assertTrue(await second.try_hold())
+
+    @on_mock_clock
+    async def test_paused_holder_finds_that_it_lost_it(self):
+        """Two VMs both believe that they rebalance.
+
+        The holder is paused past the time to live, another one takes over,
+        and the first one renews on waking.
+        """
+        platform = MemoryPlatform()
+        first, second = (Lease(platform, "x", name) for name in ("a~1", "b~1"))
+        await first.try_hold()
+        await second.try_hold()
+        await trio.sleep(first.ttl_s + 0.1)
+        await second.try_hold()
+        self.assertFalse(await first.try_hold())
+        self.assertFalse(first.is_held)
+        self.assertTrue(second.is_held)
+
+    @on_mock_clock
+    async def test_is_not_believed_longer_than_others_wait(self):
+        """Both hold it for a moment: the renewal's answer came late.
+
+        The store took the renewal at once but answered slowly; counting from
+        the answer, the holder would believe in it longer than others wait.
+        """
+        platform = MemoryPlatform()
+        lease = Lease(platform, "x", "a~1")
+        platform.faults.delay_s = 1.0
+        began_at = trio.current_time()
+        await lease.try_hold()
+        await trio.sleep(began_at + lease.ttl_s - trio.current_time())
+        self.assertFalse(lease.is_held)
+
+    @on_mock_clock
+    async def test_given_back_is_free_at_once(self):
+        platform = MemoryPlatform()
+        first, second = (Lease(platform, "x", name) for name in ("a~1", "b~1"))
+        await first.try_hold()
+        await first.give_back()
+        self.assertTrue(await second.try_hold())
--- /dev/null
+++ b/tests/coordination/test_membership.py
@@ -0,0 +1,141 @@
+"""Who is there, who is not, and who must stop."""
+
+import unittest
+
+import trio
+
+from plantainshed_coordination.members import Liveness
+from plantainshed_coordination.membership import PAUSE_S, SILENT_S
+from tests.support import FOUR_VMS, PartsFleet, on_mock_clock
+
+
+class TestMembership(unittest.TestCase):
+    @on_mock_clock
+    async def test_everybody_hears_of_everybody(self):
+        fleet = PartsFleet(FOUR_VMS)
+        async with fleet.running() as vms:
+            await trio.sleep(5)
+            for vm in vms.values():
+                self.assertEqual(len(vm.membership.usable_vms()), 4)
+
+    @on_mock_clock
+    async def test_dead_vm_is_suspected_then_silent_then_gone(self):
+        fleet = PartsFleet(FOUR_VMS)
+        async with fleet.running() as vms:
+            await trio.sleep(5)
+            fleet.kill("a-2")
+            view = vms["a-1"].membership
+            await trio.sleep(4)
+            self.assertIs(view.liveness("a-2"), Liveness.SUSPECT)
+            await trio.sleep(4)
+            self.assertIs(view.liveness("a-2"), Liveness.SILENT)
+            del fleet.platform.vms["a-2"]
+            await trio.sleep(5)
+            self.assertIs(view.liveness("a-2"), Liveness.GONE)
+            self.assertIs(vms["b-1"].membership.liveness("a-2"), Liveness.GONE)
+
+    @on_mock_clock
+    async def test_one_lost_link_makes_nobody_suspect(self):
+        """Callers are steered away from a healthy VM.
+
+        Two VMs of a domain cannot reach each other, while a third hears both.
+        """
+        fleet = PartsFleet((("a-1", "a"), ("a-2", "a"), ("a-3", "a")))
+        async with fleet.running() as vms:
+            await trio.sleep(5)
+            fleet.network.faults.is_cut = lambda s, r: {s, r} == {"a-1", "a-2"}
+            await trio.sleep(20)
+            self.assertIs(vms["a-1"].membership.liveness("a-2"), Liveness.ALIVE)
+
+    @on_mock_clock
+    async def test_new_vm_missing_from_the_lagging_list_is_not_gone(self):
+        fleet = PartsFleet(FOUR_VMS)
+        async with fleet.running() as vms:
+            del fleet.platform.vms["b-1"]
+            await trio.sleep(30)
+            self.assertIs(vms["a-1"].membership.liveness("b-1"), Liveness.ALIVE)
+
+    @on_mock_clock
+    async def test_silent_but_listed_vm_is_not_gone(self):
+        fleet = PartsFleet(FOUR_VMS)
+        async with fleet.running() as vms:
+            await trio.sleep(5)
+            fleet.cut(["a-1", "a-2"], ["b-1", "b-2"])
+            await trio.sleep(60)
+            self.assertIs(vms["a-1"].membership.liveness("b-1"), Liveness.SILENT)
+            fleet.heal()
+            await trio.sleep(5)
+            self.assertIs(vms["a-1"].membership.liveness("b-1"), Liveness.ALIVE)
+
+    @on_mock_clock
+    async def test_paused_vm_does_not_trust_what_it_knew(self):
+        """A VM admits requests with a key that was withdrawn minutes ago.
+
+        Its process is paused, the key is withdrawn meanwhile, and on waking a
+        waiting request is admitted before any news has arrived.
+        """
+        fleet = PartsFleet(FOUR_VMS)
+        async with fleet.running() as vms:
+            await trio.sleep(5)
+            view = vms["a-1"].membership
+            self.assertTrue(view.is_awake())
+            view.last_tick -= PAUSE_S
+            self.assertFalse(view.is_awake())
+            await trio.sleep(2)
+            self.assertTrue(view.is_awake())
+
+    @on_mock_clock
+    async def test_replaced_run_that_wakes_must_stop(self):
+        """Two runs of one VM use the same limits.
+
+        A run is paused, the platform starts another under its name, and the
+        first one wakes and goes on with parts that were given to others.
+        """
+        fleet = PartsFleet(FOUR_VMS)
+        async with fleet.running() as vms:
+            await trio.sleep(5)
+            old = vms["a-1"]
+            fleet.start("a-1")
+            await trio.sleep(3)
+            await fleet.vms["a-2"].network.send_to(
+                "a-1", "heartbeat", fleet.vms["a-2"].membership._heartbeat()
+            )
+            beat = fleet.vms["a-2"].membership._heartbeat()
+            await old.membership._on_heartbeat(None, beat)
+            self.assertTrue(old.membership.superseded.is_set())
+            self.assertFalse(old.membership.is_awake())
+
+    @on_mock_clock
+    async def test_run_with_a_clock_behind_takes_the_next_incarnation(self):
+        """A restarted VM is never heard, since it seems to be an old run.
+
+        The VM's clock went back between two starts, so that the new run has
+        the lower incarnation.
+        """
+        fleet = PartsFleet(FOUR_VMS)
+        fleet.incarnation = 100
+        async with fleet.running() as vms:
+            await trio.sleep(5)
+            fleet.kill("a-1")
+            await trio.sleep(SILENT_S)
+            fleet.incarnation = 0
+            vms["a-1"] = fleet.start("a-1")
+            vms["a-1"].membership._has_been_ready = False
+            await trio.sleep(10)
+            member = vms["b-1"].membership.table.members["a-1"]
+            self.assertGreater(member.record.incarnation, 101)
+            self.assertIs(vms["b-1"].membership.liveness("a-1"), Liveness.ALIVE)
+
+    @on_mock_clock
+    async def test_survives_loss_repeats_and_reordering(self):
+        fleet = PartsFleet(FOUR_VMS, seed=5)
+        fleet.network.faults.loss = 0.3
+        fleet.network.faults.repeat = 0.3
+        fleet.network.faults.jitter_s = 0.5
+        async with fleet.running() as vms:
+            for _ in range(30):
+                await trio.sleep(5)
+                for vm in vms.values():
+                    live = [vm.membership.liveness(n) for n in fleet.domains]
+                    self.assertNotIn(Liveness.GONE, live)
+            self.assertEqual(len(vms["a-1"].membership.usable_vms()), 4)
--- /dev/null
+++ b/tests/coordination/test_rumors.py
@@ -0,0 +1,74 @@
+"""Statements that have to reach every VM."""
+
+import unittest
+
+import trio
+
+from tests.support import FOUR_VMS, PartsFleet, on_mock_clock
+
+
+class TestRumorBook(unittest.TestCase):
+    @on_mock_clock
+    async def test_reaches_everybody_without_the_store(self):
+        fleet = PartsFleet(FOUR_VMS)
+        async with fleet.running() as vms:
+            await trio.sleep(5)
+            await fleet.platform.set_down(True)
+            vms["a-1"].rumors.begin("key-withdrawn", "k1")
+            await trio.sleep(1)
+            for vm in vms.values():
+                self.assertTrue(vm.rumors.knows("key-withdrawn", "k1"))
+
+    @on_mock_clock
+    async def test_reaches_a_domain_that_was_cut_off_for_long(self):
+        """A withdrawn key works for ever in one failure domain.
+
+        The domain was cut off while the key was withdrawn, and the flooding
+        had long ended when the cut healed.
+        """
+        fleet = PartsFleet(FOUR_VMS)
+        async with fleet.running() as vms:
+            await trio.sleep(5)
+            fleet.cut(["a-1", "a-2"], ["b-1", "b-2"])
+            vms["a-1"].rumors.begin("key-withdrawn", "k1")
+            await trio.sleep(300)
+            self.assertFalse(vms["b-2"].rumors.knows("key-withdrawn", "k1"))
+            fleet.heal()
+            await trio.sleep(5)
+            self.assertTrue(vms["b-2"].rumors.knows("key-withdrawn", "k1"))
+
+    @on_mock_clock
+    async def test_reaches_a_fresh_vm(self):
+        """A key that was withdrawn works again on a VM that was replaced."""
+        fleet = PartsFleet(FOUR_VMS)
+        async with fleet.running() as vms:
+            await trio.sleep(5)
+            vms["a-1"].rumors.begin("key-withdrawn", "k1")
+            await trio.sleep(30)
+            fleet.kill("b-1")
+            await trio.sleep(1)
+            vms["b-1"] = fleet.start("b-1")
+            await trio.sleep(4)
+            self.assertTrue(vms["b-1"].rumors.knows("key-withdrawn", "k1"))
+
+    @on_mock_clock
+    async def test_survives_heavy_loss(self):
+        fleet = PartsFleet(FOUR_VMS, seed=3)
+        fleet.network.faults.loss = 0.5
+        async with fleet.running() as vms:
+            await trio.sleep(10)
+            vms["b-2"].rumors.begin("key-withdrawn", "k1")
+            await trio.sleep(5)
+            for vm in vms.values():
+                self.assertTrue(vm.rumors.knows("key-withdrawn", "k1"))
+
+    @on_mock_clock
+    async def test_expires(self):
+        fleet = PartsFleet(FOUR_VMS)
+        async with fleet.running() as vms:
+            await trio.sleep(5)
+            vms["a-1"].rumors.begin("crash-mark", "x", ttl_s=10)
+            await trio.sleep(2)
+            self.assertTrue(vms["b-2"].rumors.knows("crash-mark", "x"))
+            await trio.sleep(10)
+            self.assertFalse(vms["b-2"].rumors.knows("crash-mark", "x"))
--- /dev/null
+++ b/tests/coordination/test_versioned.py
@@ -0,0 +1,101 @@
+"""The versioned document in the store."""
+
+import unittest
+
+import trio
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from plantainshed_coordination.errors import CommitUnconfirmed, StaleBase
+from plantainshed_coordination.versioned import Change, DocumentStore
+from plantainshed_standins.memory_network import run_deterministically
+from plantainshed_standins.memory_platform import MemoryPlatform
+from tests.support import on_mock_clock
+
+
+def change(base, change_id, text=b"x"):
+    return Change(base, {"s": text}, change_id, "ann", "why", "2026-12-03T00:00:00")
+
+
+class TestDocumentStore(unittest.TestCase):
+    @on_mock_clock
+    async def test_keeps_who_when_and_why(self):
+        store = DocumentStore(MemoryPlatform())
+        await store.commit(change(0, "c1", b"one"))
+        await store.commit(change(1, "c2", b"two"))
+        newest, oldest = await store.history(10)
+        self.assertEqual((newest.version, oldest.version), (2, 1))
+        self.assertEqual((newest.author, newest.reason), ("ann", "why"))
+        self.assertEqual(await store.segments(oldest), {"s": b"one"})
+
+    @on_mock_clock
+    async def test_second_of_two_operators_is_told(self):
+        """An operator's drain vanishes without a word.
+
+        Two operators start from version 1; both save; the second one's text
+        does not have what the first one changed.
+        """
+        store = DocumentStore(MemoryPlatform())
+        await store.commit(change(0, "c1"))
+        await store.commit(change(1, "c2"))
+        with self.assertRaises(StaleBase):
+            await store.commit(change(1, "c3"))
+        self.assertEqual((await store.root()).revision.change_id, "c2")
+
+    @on_mock_clock
+    async def test_lost_answers_apply_a_change_once(self):
+        """An operator sees a conflict with their own change.
+
+        The store takes the write, its answer is lost, and the second try
+        finds another version than it started from.
+        """
+        platform = MemoryPlatform()
+        store = DocumentStore(platform)
+        await store.commit(change(0, "c1"))
+        platform.faults.lose_answers = 3
+        revision = await store.commit(change(1, "c2"))
+        self.assertEqual(revision.version, 2)
+        self.assertEqual((await store.root()).revision.version, 2)
+
+    @on_mock_clock
+    async def test_outage_leaves_a_change_that_can_be_repeated(self):
+        platform = MemoryPlatform()
+        store = DocumentStore(platform)
+        await store.commit(change(0, "c1"))
+        await platform.set_down(True)
+        with self.assertRaises(CommitUnconfirmed):
+            await store.commit(change(1, "c2"))
+        await platform.set_down(False)
+        self.assertEqual((await store.commit(change(1, "c2"))).version, 2)
+
+    @given(st.lists(st.tuples(st.booleans(), st.integers(0, 3)), max_size=12))
+    @settings(max_examples=60, derandomize=True, deadline=None)
+    def test_races_and_lost_answers_lose_and_double_nothing(self, steps):
+        """Two writers race while answers get lost; each change counts once."""
+
+        async def body():
+            platform = MemoryPlatform()
+            store = DocumentStore(platform)
+            accepted = []
+
+            async def write(name, count):
+                for number in range(count):
+                    base = (await store.root()).revision.version
+                    change_id = f"{name}-{number}"
+                    try:
+                        await store.commit(change(base, change_id, change_id.encode()))
+                    except StaleBase:
+                        continue
+                    accepted.append(change_id)
+
+            for index, (lose, count) in enumerate(steps):
+                platform.faults.lose_answers = int(lose)
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(write, f"a{index}", count)
+                    nursery.start_soon(write, f"b{index}", count)
+            history = await store.history(100)
+            self.assertEqual(sorted(r.change_id for r in history), sorted(accepted))
+            versions = [revision.version for revision in history]
+            self.assertEqual(versions, list(range(len(history), 0, -1)))
+
+        run_deterministically(body)
