--- /dev/null
+++ b/tests/http_support.py
@@ -0,0 +1,32 @@
+"""Helpers for tests on real sockets."""
+
+import contextlib
+
+import trio
+
+from plantainshed_http.server import Stopping, serve_http
+
+
+@contextlib.asynccontextmanager
+async def serving(handler):
+    """Serve a handler on loopback; yields its address and its `Stopping`."""
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    port = listeners[0].socket.getsockname()[1]
+    stopping = Stopping()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(serve_http, handler, listeners, stopping)
+        yield f"127.0.0.1:{port}", stopping
+        nursery.cancel_scope.cancel()
+
+
+async def raw_exchange(address: str, data: bytes) -> bytes:
+    """Send bytes and return all that comes back until the other side closes."""
+    host, _, port = address.rpartition(":")
+    stream = await trio.open_tcp_stream(host, int(port))
+    async with stream:
+        await stream.send_all(data)
+        received = b""
+        with trio.move_on_after(5):
+            while chunk := await stream.receive_some(65536):
+                received += chunk
+        return received
