Add the command line, the console of forms and the report of facts

Cause: operators could change the document only from code. Change: commands grouped by subject with exit codes and JSON, a console that works without scripts (login, forms protected against other sites, what was typed is kept), a page of measured facts as text, JSON and HTML that names what it could not ask. A wrong key id is refused before the fleet is told of it.

--- a/packages/coordination/plantainshed_coordination/follower.py
+++ b/packages/coordination/plantainshed_coordination/follower.py
@@ -47,6 +47,8 @@
         The version in force.
     refused : dict of int to str
         Versions that could not be installed, and why.
+    is_watching : bool
+        Whether this VM watches the store for its failure domain.
     store_heard_at : float
         When the store last answered this VM.
     """
@@ -67,6 +69,7 @@
         self.refused: dict[int, str] = {}
         self.installed = trio.Event()
         self.store_heard_at = trio.current_time()
+        self.is_watching = False
         self._news = trio.Event()
         membership.on_change.append(self._note_record)
 
@@ -87,7 +90,10 @@
         root = Root(EMPTY_REVISION)
         delay_s = RETRY_MIN_S
         while True:
-            if not self.membership.is_among_first("document-watch", WATCHERS):
+            self.is_watching = self.membership.is_among_first(
+                "document-watch", WATCHERS
+            )
+            if not self.is_watching:
                 await trio.sleep(POLL_S)
                 continue
             try:
--- a/packages/entry/plantainshed_entry/commands.py
+++ b/packages/entry/plantainshed_entry/commands.py
@@ -10,6 +10,7 @@
 
 WITHDRAW_KEY = "withdraw-key"
 STATUS = "status"
+FACTS = "facts"
 
 
 class Commands:
@@ -26,7 +27,11 @@
     def __init__(self, node: Node, credential: bytes):
         self.node = node
         self.credential = credential
-        self.by_name = {WITHDRAW_KEY: self._withdraw_key, STATUS: self._status}
+        self.by_name = {
+            WITHDRAW_KEY: self._withdraw_key,
+            STATUS: self._status,
+            FACTS: self._facts,
+        }
 
     async def handle(self, request: ControlRequest) -> ControlReply:
         """Carry out one command."""
@@ -45,6 +50,9 @@
         self.node.withdraw_key(arguments["key_id"])
         return {"key_id": arguments["key_id"]}
 
+    def _facts(self, arguments: dict) -> dict:
+        return self.node.facts.as_fields()
+
     def _status(self, arguments: dict) -> dict:
         return fleet_status(self.node)
 
--- a/packages/entry/plantainshed_entry/node.py
+++ b/packages/entry/plantainshed_entry/node.py
@@ -26,6 +26,7 @@
 from .attempts import Attempts, Relay
 from .context import Context
 from .domain_news import DomainNews
+from .facts import Facts
 from .in_force import budget_specs, nothing_in_force, put_in_force
 from .loads import DomainLoad, LoadBoard
 from .lookup import TTL_S, Lookup
@@ -98,6 +99,7 @@
         self.attempts = Attempts(
             self.routing, self.targets, self.poison, context.metrics, relay
         )
+        self.facts = Facts(self.membership, self.targets)
         self.serving = Serving(
             context,
             self.membership,
@@ -106,6 +108,7 @@
             self.operations,
             self.loads,
             self.lookup,
+            self.facts,
         )
         self.probing = Probing(self.membership, self.targets, probe)
         self.follower = DocumentFollower(
@@ -173,6 +176,7 @@
             self.holdings.end_loans_to_gone(self.membership.table.is_gone)
             self.lookup.forget()
             self._note_outside()
+            self.facts.observe(self.follower.store_heard_at, self.follower.is_watching)
 
     # Questions.
 
--- a/packages/entry/plantainshed_entry/serving.py
+++ b/packages/entry/plantainshed_entry/serving.py
@@ -26,6 +26,7 @@
 from .call import Call
 from .context import Context
 from .errors import Refusal
+from .facts import Facts
 from .in_force import InForce
 from .loads import LoadBoard
 from .lookup import Lookup
@@ -62,6 +63,7 @@
         operations: OperationBook,
         loads: LoadBoard,
         lookup: Lookup,
+        facts: Facts,
     ):
         self.log = context.log
         self.metrics = context.metrics
@@ -71,6 +73,7 @@
         self.operations = operations
         self.loads = loads
         self.lookup = lookup
+        self.facts = facts
         self.in_force: InForce | None = None
         self.calls: dict[str, Call] = {}
 
@@ -191,6 +194,7 @@
         await self.attempts.run(call)
         seconds = trio.current_time() - call.began_at
         self.metrics.count_answer(call.workspace, seconds)
+        self.facts.answered[call.workspace] += 1
 
     async def _answer_repeat(self, call: Call, claim):
         if claim.verdict is Verdict.DONE and claim.answer:
@@ -224,6 +228,7 @@
     async def _refuse(self, exchange: Exchange, call: Call | None, refusal: Refusal):
         workspace = call.workspace if call else ""
         self.metrics.count_refusal(refusal.reason, refusal.outcome, workspace)
+        self.facts.refused[refusal.reason, refusal.outcome, workspace] += 1
         self.log.info(
             "refused",
             extra={
--- a/packages/model/plantainshed_model/commands.py
+++ b/packages/model/plantainshed_model/commands.py
@@ -48,6 +48,15 @@
     raise UnknownName(f"shifts: there is no shift named {name!r}")
 
 
+def remove_shift(document: Document, name: str) -> Document:
+    """Take a shift off the list, and its cap with it."""
+    if name not in {shift.name for shift in document.shifts}:
+        raise UnknownName(f"shifts: there is no shift named {name!r}")
+    return evolve(
+        document, shifts=tuple(shift for shift in document.shifts if shift.name != name)
+    )
+
+
 def add_key(document: Document, key: KeyDigest) -> Document:
     """Add the entry of a key that was just issued."""
     if key.workspace not in {item.name for item in document.workspaces}:
--- a/packages/model/plantainshed_model/keys.py
+++ b/packages/model/plantainshed_model/keys.py
@@ -40,6 +40,11 @@
     return IssuedKey(text, KeyDigest(key_id, workspace, key_digest(text)))
 
 
+def is_key_id(text: str) -> bool:
+    """Tell whether the text can be the public part of a key."""
+    return len(text) == 2 * KEY_ID_BYTES and set(text) <= set("0123456789abcdef")
+
+
 def key_digest(text: str) -> str:
     """Return the digest under which the document keeps a key."""
     return hashlib.sha256(text.encode()).hexdigest()
--- a/packages/operator/plantainshed/changes.py
+++ b/packages/operator/plantainshed/changes.py
@@ -19,11 +19,11 @@
 from plantainshed_model.checks import require_valid
 from plantainshed_model.codec import to_segments
 from plantainshed_model.document import Document
-from plantainshed_model.keys import IssuedKey, issue_key
+from plantainshed_model.keys import IssuedKey, is_key_id, issue_key
 from plantainshed_model.queries import differences
 
 from .context import OperatorContext
-from .errors import EditConflict, Unconfirmed, Unreachable
+from .errors import BadUsage, EditConflict, Unconfirmed, Unreachable
 from .views import Current, current
 
 Edit = Callable[[Document], Document]
@@ -130,6 +130,8 @@
     The fleet is told first and without the store, so that an outage of the
     store does not keep a key alive.
     """
+    if not is_key_id(key_id):
+        raise BadUsage(f"key_id: {key_id!r} is not a key id; 'key list' shows them")
     told = await _tell_fleet(context, key_id)
     revision = None
     try:
--- a/packages/operator/plantainshed/cli/__init__.py
+++ b/packages/operator/plantainshed/cli/__init__.py
@@ -3,44 +3,40 @@
 import sys
 
 import fire
-import trio
 
 from plantainshed_entry.status import ExitCode
+from plantainshed_model.errors import InvalidDocument, ModelError
 
 from ..errors import BadUsage, EditConflict, OperatorError, Unconfirmed, Unreachable
-
-
-class Plantainshed:
-    """Steer traffic: the operators' command line."""
-
-    def demo(self, deployment: str = "cerimonia"):
-        """Run a whole fleet on loopback under a short load, and judge it.
-
-        Parameters
-        ----------
-        deployment : str
-            Folder under examples: cerimonia or maracas-bay.
-        """
-        from ..demo.story import run_demo, show
-
-        outcomes = trio.run(run_demo, deployment)
-        show(outcomes)
-        if outcomes.violations():
-            sys.exit(ExitCode.FAILED)
-
+from .commands import Plantainshed
 
 EXIT_CODES = {
     BadUsage: ExitCode.USAGE,
     EditConflict: ExitCode.CONFLICT,
     Unreachable: ExitCode.UNREACHABLE,
     Unconfirmed: ExitCode.UNKNOWN_OUTCOME,
+    InvalidDocument: ExitCode.INVALID_DOCUMENT,
 }
 
 
 def main():
-    """Run the command line."""
+    """Run the command line; errors are written for the person who typed it."""
     try:
         fire.Fire(Plantainshed, name="plantainshed")
-    except OperatorError as error:
-        print(f"plantainshed: {error}", file=sys.stderr)
+    except (OperatorError, ModelError) as error:
+        _explain(error)
         sys.exit(EXIT_CODES.get(type(error), ExitCode.FAILED))
+
+
+def _explain(error: Exception):
+    if isinstance(error, InvalidDocument):
+        print("plantainshed: the document is not valid:", file=sys.stderr)
+        for fault in error.faults:
+            print(f"  {fault}", file=sys.stderr)
+        return
+    print(f"plantainshed: {error}", file=sys.stderr)
+    if isinstance(error, EditConflict):
+        for difference in error.differences:
+            print(f"  {difference.path}", file=sys.stderr)
+            print(f"    before  {difference.before or '-'}", file=sys.stderr)
+            print(f"    now     {difference.after or '-'}", file=sys.stderr)
--- /dev/null
+++ b/packages/operator/plantainshed/cli/commands.py
@@ -0,0 +1,85 @@
+"""The commands, grouped by what they are about."""
+
+import sys
+from pathlib import Path
+
+import trio
+
+from plantainshed_entry.status import ExitCode
+
+from ..errors import BadUsage
+from ..report.page import FORMATS, report_as
+from .document_commands import DocumentCommands
+from .fleet_commands import DrainCommands, KeyCommands, ShiftCommands, print_status
+from .session import Session
+
+DEFAULT_SETTINGS = "operator.ini"
+
+
+class Plantainshed:
+    """Steer traffic: the operators' command line.
+
+    Parameters
+    ----------
+    settings : str
+        Path of the operators' settings file.
+    json : bool
+        Print JSON for programs.
+    """
+
+    def __init__(self, settings: str = DEFAULT_SETTINGS, json: bool = False):
+        self._session = Session(settings, json)
+        self.document = DocumentCommands(self._session)
+        self.key = KeyCommands(self._session)
+        self.drain = DrainCommands(self._session)
+        self.shift = ShiftCommands(self._session)
+
+    def status(self):
+        """Show each VM, and what is in force there."""
+        print_status(self._session)
+
+    def report(self, format: str = "text", output: str = "", hours: float = 24.0):
+        """Write the page of measured facts for the parent group.
+
+        Parameters
+        ----------
+        format : str
+            text, json or html.
+        output : str
+            File to write; the terminal if empty.
+        hours : float
+            How far back the history goes.
+        """
+        if format not in FORMATS:
+            raise BadUsage(f"--format: {format!r} is not one of {', '.join(FORMATS)}")
+        text = self._session.run(report_as, format, hours)
+        if output:
+            Path(output).write_text(text)
+        else:
+            print(text, end="")
+
+    def console(self):
+        """Serve the console of forms until interrupted."""
+        from ..console.server import run_console
+        from ..settings import load_operator_settings
+
+        settings = load_operator_settings(self._session.settings)
+        try:
+            trio.run(run_console, settings)
+        except KeyboardInterrupt:
+            sys.exit(ExitCode.OK)
+
+    def demo(self, deployment: str = "cerimonia"):
+        """Run a whole fleet on loopback under a short load, and judge it.
+
+        Parameters
+        ----------
+        deployment : str
+            Folder under examples: cerimonia or maracas-bay.
+        """
+        from ..demo.story import run_demo, show
+
+        outcomes = trio.run(run_demo, deployment)
+        show(outcomes)
+        if outcomes.violations():
+            sys.exit(ExitCode.FAILED)
--- /dev/null
+++ b/packages/operator/plantainshed/cli/fleet_commands.py
@@ -0,0 +1,181 @@
+"""``plantainshed key``, ``drain``, ``shift`` and ``status``."""
+
+from plantainshed_coordination.members import MemberState
+from plantainshed_model import commands
+from plantainshed_model.document import DrainKind, Shift, ShiftState
+
+from ..changes import edit, issue, withdraw
+from ..errors import BadUsage
+from ..views import current, fleet_status
+from .output import print_json, print_revision, print_rows
+from .session import Session
+
+
+class KeyCommands:
+    """Issue, withdraw and list callers' keys."""
+
+    def __init__(self, session: Session):
+        self._session = session
+
+    def issue(self, workspace: str, reason: str = "key issued"):
+        """Issue a key for a workspace; it is shown this once."""
+        key, revision = self._session.run(issue, workspace, reason)
+        if self._session.json:
+            print_json(
+                {
+                    "key": key.text,
+                    "key_id": key.entry.key_id,
+                    "version": revision.version,
+                }
+            )
+        else:
+            print(f"{key.text}\nKeep it now: it cannot be shown again.")
+
+    def withdraw(self, key_id: str, reason: str = "key withdrawn"):
+        """Withdraw a key: on the running fleet at once, then in the document."""
+        done = self._session.run(withdraw, key_id, reason)
+        version = done.revision.version if done.revision else None
+        if self._session.json:
+            print_json({"key_id": key_id, "told": done.told, "version": version})
+            return
+        if done.told:
+            print(f"{key_id}: withdrawn; spreading from {done.told}")
+        else:
+            print(f"{key_id}: no VM could be told; they learn it from the document")
+        if version:
+            print(f"recorded in version {version}")
+        else:
+            print("NOT recorded: the store cannot be reached; repeat when it can")
+        print("'plantainshed status' shows which VMs have confirmed it")
+
+    def list(self, workspace: str = ""):
+        """List keys by their public ids."""
+        keys = self._session.run(current).document.keys
+        rows = [
+            {
+                "key_id": key.key_id,
+                "workspace": key.workspace,
+                "state": "withdrawn" if key.withdrawn else "valid",
+            }
+            for key in keys
+            if workspace in ("", key.workspace)
+        ]
+        print_rows(rows, self._session.json)
+
+
+class DrainCommands:
+    """Empty a target, a VM or a failure domain without cutting a request."""
+
+    def __init__(self, session: Session):
+        self._session = session
+
+    def start(self, kind: str, name: str, reason: str = "drain"):
+        """Begin a drain; KIND is target, vm or failure_domain."""
+        self._edit(
+            lambda document: commands.start_drain(document, _kind(kind), name), reason
+        )
+
+    def end(self, kind: str, name: str, reason: str = "drain ended"):
+        """Take a drain back."""
+        self._edit(
+            lambda document: commands.end_drain(document, _kind(kind), name), reason
+        )
+
+    def list(self):
+        """List what is being drained."""
+        drains = self._session.run(current).document.drains
+        rows = [{"kind": str(drain.kind), "name": drain.name} for drain in drains]
+        print_rows(rows, self._session.json)
+
+    def _edit(self, change, reason: str):
+        print_revision(self._session.run(edit, change, reason), self._session.json)
+
+
+class ShiftCommands:
+    """Move a pool's traffic between two regions, under a cap."""
+
+    def __init__(self, session: Session):
+        self._session = session
+
+    def start(
+        self,
+        name: str,
+        pool: str,
+        from_region: str,
+        to_region: str,
+        cap: float,
+        reason: str = "shift",
+    ):
+        """Start a shift; CAP is the requests a second that may be moved."""
+        shift = Shift(name, pool, from_region, to_region, float(cap))
+        self._edit(lambda document: commands.put_shift(document, shift), reason)
+
+    def stop(self, name: str, reason: str = "shift stopped"):
+        """Stop moving more; the cap stays in force."""
+        self._set(name, ShiftState.STOPPED, reason)
+
+    def resume(self, name: str, reason: str = "shift resumed"):
+        """Go on with a shift."""
+        self._set(name, ShiftState.RUNNING, reason)
+
+    def reverse(self, name: str, reason: str = "shift reversed"):
+        """Move in the other direction, under the same cap."""
+        self._set(name, ShiftState.REVERSED, reason)
+
+    def remove(self, name: str, reason: str = "shift removed"):
+        """Take a shift off the list, and its cap with it."""
+        self._edit(lambda document: commands.remove_shift(document, name), reason)
+
+    def list(self):
+        """List shifts."""
+        rows = [
+            {
+                "name": shift.name,
+                "pool": shift.pool,
+                "from": shift.from_region,
+                "to": shift.to_region,
+                "cap": shift.cap,
+                "state": str(shift.state),
+            }
+            for shift in self._session.run(current).document.shifts
+        ]
+        print_rows(rows, self._session.json)
+
+    def _set(self, name: str, state: ShiftState, reason: str):
+        self._edit(
+            lambda document: commands.set_shift_state(document, name, state), reason
+        )
+
+    def _edit(self, change, reason: str):
+        print_revision(self._session.run(edit, change, reason), self._session.json)
+
+
+def print_status(session: Session):
+    """Print what the first VM that answers knows of the fleet."""
+    status = session.run(fleet_status)
+    if session.json:
+        print_json(status)
+        return
+    print(
+        f"as seen by {status['asked']}, document version {status['document_version']}"
+    )
+    rows = [
+        {
+            "vm": vm["vm"],
+            "failure_domain": vm["failure_domain"],
+            "state": MemberState(vm["state"]).name.lower(),
+            "liveness": vm["liveness"],
+            "version": vm["document_version"],
+            "withdrawals": "confirmed" if vm["withdrawals_confirmed"] else "NOT YET",
+        }
+        for vm in status["vms"]
+    ]
+    print_rows(rows, as_json=False)
+
+
+def _kind(text: str) -> DrainKind:
+    try:
+        return DrainKind(text)
+    except ValueError:
+        allowed = ", ".join(DrainKind)
+        raise BadUsage(f"kind: {text!r} is not one of {allowed}") from None
--- /dev/null
+++ b/packages/operator/plantainshed/cli/output.py
@@ -0,0 +1,38 @@
+"""Printing results: text for people, JSON for programs."""
+
+import json
+
+
+def print_json(value):
+    """Print a value as one JSON object."""
+    print(json.dumps(value, indent=2, default=str))
+
+
+def print_table(rows: list[dict]):
+    """Print rows as aligned columns; the first row names them."""
+    if not rows:
+        print("(none)")
+        return
+    widths = {
+        name: max(len(name), *(len(str(row[name])) for row in rows)) for name in rows[0]
+    }
+    print("  ".join(name.ljust(width) for name, width in widths.items()).rstrip())
+    for row in rows:
+        cells = (str(row[name]).ljust(width) for name, width in widths.items())
+        print("  ".join(cells).rstrip())
+
+
+def print_rows(rows: list[dict], as_json: bool):
+    """Print rows as a table or as JSON."""
+    if as_json:
+        print_json(rows)
+    else:
+        print_table(rows)
+
+
+def print_revision(revision, as_json: bool):
+    """Print what a change became."""
+    if as_json:
+        print_json({"version": revision.version, "change_id": revision.change_id})
+    else:
+        print(f"version {revision.version} accepted (change {revision.change_id})")
--- /dev/null
+++ b/packages/operator/plantainshed/console/forms.py
@@ -0,0 +1,126 @@
+"""What was typed into forms, turned into parts of the document."""
+
+from attrs import fields, frozen
+
+from plantainshed_model.document import (
+    Drain,
+    DrainKind,
+    Pool,
+    Shift,
+    ShiftState,
+    Target,
+    Workspace,
+)
+from plantainshed_model.errors import Fault, InvalidDocument
+
+KINDS = {
+    "workspaces": Workspace,
+    "pools": Pool,
+    "targets": Target,
+    "shifts": Shift,
+    "drains": Drain,
+}
+LABELS = {
+    "rate": "requests a second, whole fleet",
+    "burst": "requests at once, whole fleet",
+    "offline_limit_s": "seconds that keys go on working in a domain cut off",
+    "prefix": "path prefix, such as /prenota",
+    "slots": "requests that one target runs at a time",
+    "connections": "connections that one target accepts",
+    "probe_path": "path of the health check",
+    "timeout_s": "seconds until a request's deadline",
+    "service_time_s": "expected seconds in a slot",
+    "ramp_s": "seconds until a returning target gets its full share",
+    "address": "IP:PORT",
+    "cap": "most requests a second that may be moved",
+    "state": "running, stopped or reversed",
+    "kind": "target, vm or failure_domain",
+}
+
+
+@frozen
+class FormField:
+    """One field of a form.
+
+    Parameters
+    ----------
+    name, label, value : str
+    choices : tuple of str
+        What can be chosen; empty for free text.
+    """
+
+    name: str
+    label: str
+    value: str
+    choices: tuple[str, ...] = ()
+
+
+def form_fields(kind: str, values: dict[str, str], document) -> list[FormField]:
+    """Return the fields of the form for one kind of item."""
+    return [
+        FormField(
+            attribute.name,
+            LABELS.get(attribute.name, attribute.name.replace("_", " ")),
+            values.get(attribute.name, _default(attribute)),
+            _choices(attribute.name, document),
+        )
+        for attribute in fields(KINDS[kind])
+    ]
+
+
+def values_of(item) -> dict[str, str]:
+    """Return an item's fields as they stand in a form."""
+    return {
+        attribute.name: _as_text(getattr(item, attribute.name))
+        for attribute in fields(type(item))
+    }
+
+
+def item_from(kind: str, form: dict[str, str]):
+    """Return the item that was typed, or raise `InvalidDocument`."""
+    values, faults = {}, []
+    for attribute in fields(KINDS[kind]):
+        typed = form.get(attribute.name, "").strip()
+        try:
+            values[attribute.name] = _converted(attribute.type, typed)
+        except ValueError:
+            path = f"{kind}[{form.get('name', '')}].{attribute.name}"
+            faults.append(Fault(path, f"{typed!r} must be {_expected(attribute.type)}"))
+    if faults:
+        raise InvalidDocument(faults)
+    return KINDS[kind](**values)
+
+
+def _converted(wanted, typed: str):
+    return wanted(typed)
+
+
+def _expected(wanted) -> str:
+    if wanted in (int, float):
+        return "a number"
+    if wanted in (ShiftState, DrainKind):
+        return "one of " + ", ".join(wanted)
+    return "text"
+
+
+def _as_text(value) -> str:
+    return f"{value:g}" if isinstance(value, float) else str(value)
+
+
+def _default(attribute) -> str:
+    default = attribute.default
+    return _as_text(default) if isinstance(default, str | int | float) else ""
+
+
+def _choices(name: str, document) -> tuple[str, ...]:
+    if name in ("from_region", "to_region"):
+        return tuple(region.name for region in document.regions)
+    if name == "pool":
+        return tuple(pool.name for pool in document.pools)
+    if name == "failure_domain":
+        return tuple(domain.name for domain in document.failure_domains)
+    if name == "state":
+        return tuple(ShiftState)
+    if name == "kind":
+        return tuple(DrainKind)
+    return ()
--- /dev/null
+++ b/packages/operator/plantainshed/console/pages.py
@@ -0,0 +1,122 @@
+"""What the console shows."""
+
+from pathlib import Path
+
+from jinja2 import Environment, FileSystemLoader, select_autoescape
+
+from plantainshed_coordination.members import MemberState
+
+from ..context import OperatorContext
+from ..errors import OperatorError
+from ..views import current, fleet_status, history
+from .actions import item_named
+from .forms import KINDS, form_fields, values_of
+
+HISTORY_ROWS = 50
+TEMPLATES = Path(__file__).parent / "templates"
+NAVIGATION = (
+    ("", "Fleet"),
+    ("workspaces", "Workspaces"),
+    ("keys", "Keys"),
+    ("pools", "Pools"),
+    ("targets", "Targets"),
+    ("drains", "Drains"),
+    ("shifts", "Shifts"),
+    ("history", "History"),
+    ("report", "Report"),
+)
+STATE_NAMES = {int(state): state.name.lower() for state in MemberState}
+
+environment = Environment(
+    loader=FileSystemLoader(TEMPLATES), autoescape=select_autoescape(default=True)
+)
+environment.globals.update(navigation=NAVIGATION, state_names=STATE_NAMES)
+
+
+def render(template: str, session, **values) -> bytes:
+    """Render a page; everything in it is escaped."""
+    page = environment.get_template(template)
+    return page.render(session=session, **values).encode()
+
+
+async def overview(context: OperatorContext, session, **extra) -> bytes:
+    """Show every VM, and what is in force there."""
+    status, problem = None, ""
+    try:
+        status = await fleet_status(context)
+    except OperatorError as error:
+        problem = str(error)
+    stored = None
+    try:
+        stored = await current(context)
+    except OperatorError as error:
+        problem = f"{problem} {error}".strip()
+    return render(
+        "overview.html",
+        session,
+        here="",
+        status=status,
+        stored=stored,
+        problem=problem,
+        **extra,
+    )
+
+
+async def items(
+    context: OperatorContext, session, kind: str, name: str = "", typed=None, **extra
+) -> bytes:
+    """Show a kind of item with the form to add or change one.
+
+    Parameters
+    ----------
+    name : str
+        Item to change; empty to add one.
+    typed : dict of str to str, optional
+        What was typed before, so that a refused form loses none of it.
+    """
+    stored = await current(context)
+    values = dict(typed or {})
+    if name and not typed:
+        values = values_of(item_named(stored.document, kind, name))
+    rows = [values_of(item) for item in getattr(stored.document, kind)]
+    return render(
+        "items.html",
+        session,
+        here=kind,
+        kind=kind,
+        rows=rows,
+        columns=list(rows[0]) if rows else [],
+        fields=form_fields(kind, values, stored.document),
+        base_version=stored.revision.version,
+        editing=name,
+        **extra,
+    )
+
+
+async def keys(context: OperatorContext, session, **extra) -> bytes:
+    """Show keys by their public ids."""
+    stored = await current(context)
+    return render(
+        "keys.html",
+        session,
+        here="keys",
+        keys=stored.document.keys,
+        workspaces=[workspace.name for workspace in stored.document.workspaces],
+        **extra,
+    )
+
+
+async def changes(context: OperatorContext, session, **extra) -> bytes:
+    """Show who changed what, when and why."""
+    revisions = await history(context, HISTORY_ROWS)
+    return render("history.html", session, here="history", revisions=revisions, **extra)
+
+
+def login(problem: str = "") -> bytes:
+    """Show the form to log in."""
+    return render("login.html", None, here=None, problem=problem)
+
+
+def is_item_page(name: str) -> bool:
+    """Tell whether a page lists items of the document."""
+    return name in KINDS
--- a/packages/operator/plantainshed/context.py
+++ b/packages/operator/plantainshed/context.py
@@ -2,7 +2,7 @@
 
 import contextlib
 
-from attrs import frozen
+from attrs import evolve, frozen
 
 from plantainshed_coordination.control import ControlClient
 from plantainshed_coordination.platform import Platform
@@ -29,6 +29,10 @@
     store: DocumentStore
     control: ControlClient
 
+    def with_operator(self, operator: str) -> "OperatorContext":
+        """Return the same context with another author of changes."""
+        return evolve(self, settings=evolve(self.settings, operator=operator))
+
 
 @contextlib.asynccontextmanager
 async def open_context(settings: OperatorSettings):
