Stop a request that kills targets after two deaths that it was alone for

Cause: two copies of a popular page, in flight in two targets that died of another request within 13 ms, counted as two targets killed by the page, and it was refused everywhere. Ruled out: shared slots between marked requests (they were already kept apart). Replays and tests fix the hash seed, as sets decided orders.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,7 @@
 # Every command a newcomer needs; each sets up .venv by itself on first use.
 PYTHON ?= python3
+# Sets iterate in the same order in each run, so that replays do the same.
+export PYTHONHASHSEED := 0
 BIN := .venv/bin
 DEPLOYMENT ?= cerimonia
 PACKAGES := coordination model http standins entry operator measure
--- a/packages/entry/plantainshed_entry/attempts.py
+++ b/packages/entry/plantainshed_entry/attempts.py
@@ -62,7 +62,7 @@
             marked = self.poison.is_marked(call.fingerprint)
             excluded |= self.poison.targets_marked_by(call.fingerprint)
             async with self.routing.slot(call, excluded, alone=marked) as state:
-                failure = await self._attempt(call, state)
+                failure = await self._attempt(call, state, marked)
             if failure is None:
                 return
             excluded.add(state.target.name)
@@ -79,22 +79,26 @@
                 retry_after_s=POISON_RETRY_AFTER_S,
             )
 
-    async def _attempt(self, call: Call, state: TargetState) -> AttemptFailed | None:
+    async def _attempt(
+        self, call: Call, state: TargetState, marked: bool
+    ) -> AttemptFailed | None:
         call.attempts += 1
         began_at = trio.current_time()
         try:
             await self.relay(call, state)
         except AttemptFailed as failure:
-            self._learn_from(call, state, failure)
+            self._learn_from(call, state, failure, marked)
             return failure
         state.note_success()
         self.poison.note_success(call.fingerprint)
         self.targets.note_service_time(call.pool.name, trio.current_time() - began_at)
         return None
 
-    def _learn_from(self, call: Call, state: TargetState, failure: AttemptFailed):
+    def _learn_from(
+        self, call: Call, state: TargetState, failure: AttemptFailed, marked: bool
+    ):
         if failure.crashed:
-            self.poison.note_crash(call.fingerprint, state.target.name)
+            self.poison.note_crash(call.fingerprint, state.target.name, alone=marked)
         if failure.blames_target:
             self.targets.note_failure(state.target.name)
             if failure.outcome is Outcome.NOT_RUN:
