Close before handing over parts on a planned stop

Cause: read in the code, then shown by a test: a request that came while a leaving VM handed its parts over was cut, as the process ended without waiting for it. Change: leave takes a close that accepts nothing more and waits for exchanges under way; only then are parts, leases and membership given up.

--- a/packages/entry/plantainshed_entry/daemon.py
+++ b/packages/entry/plantainshed_entry/daemon.py
@@ -3,6 +3,7 @@
 import contextlib
 import signal
 import time
+from functools import partial
 
 import trio
 
@@ -39,23 +40,33 @@
     async with _open_context(settings) as context, open_relay() as relay:
         node = Node(context, relay.run, probe_over_http)
         commands = Commands(node, settings.fleet_secret)
-        stopping = Stopping()
+        stopping, closed = Stopping(), trio.Event()
         listeners = await _listen(settings.listen)
         async with (
             serve_control(settings.control, node.follower.value, commands.handle),
             trio.open_nursery() as nursery,
         ):
             nursery.start_soon(node.run)
-            nursery.start_soon(serve_http, Handlers(node).handle, listeners, stopping)
+            nursery.start_soon(_serve, node, listeners, stopping, closed)
             nursery.start_soon(_stop_when_superseded, node, stop)
             ready.set()
             await stop.wait()
-            await node.leave(LEAVE_TIMEOUT_S)
-            stopping.set()
+            await node.leave(partial(_close, stopping, closed), LEAVE_TIMEOUT_S)
             nursery.cancel_scope.cancel()
         context.log.info("stopped")
 
 
+async def _serve(node: Node, listeners, stopping: Stopping, closed: trio.Event):
+    await serve_http(Handlers(node).handle, listeners, stopping)
+    closed.set()
+
+
+async def _close(stopping: Stopping, closed: trio.Event):
+    """Accept nothing more, and wait for the exchanges under way."""
+    stopping.set()
+    await closed.wait()
+
+
 async def _stop_when_superseded(node: Node, stop: trio.Event):
     await node.membership.superseded.wait()
     node.log.error("another run of this VM has replaced this one; stopping")
--- a/packages/entry/plantainshed_entry/node.py
+++ b/packages/entry/plantainshed_entry/node.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+from collections.abc import Awaitable, Callable
 
 import trio
 
@@ -39,7 +40,6 @@
 
 UPKEEP_S = 1.0
 LEAVE_NOTICE_S = TTL_S + 1.0
-DRAIN_POLL_S = 0.05
 
 
 class Node:
@@ -262,25 +262,35 @@
 
     # Stopping.
 
-    async def leave(self, timeout_s: float):
+    async def leave(self, close: Callable[[], Awaitable[None]], timeout_s: float):
         """Stop without cutting a request: steer callers away, end what runs.
 
         Callers keep an answered look-up for its time to live. A VM that closed
-        before that was over would cost each of them a failed connection.
-        Ends when nothing is left to do, or after `timeout_s`.
+        before that was over would cost each of them a failed connection; one
+        that gave up its parts before it closed would refuse its last callers.
+
+        Parameters
+        ----------
+        close : callable
+            Accepts nothing more and returns when all exchanges have ended.
+        timeout_s : float
+            When to give up.
         """
         self.log.info("leaving", extra={"in_flight": self.serving.in_flight})
         self.membership.update_record(state=MemberState.LEAVING)
         with trio.move_on_after(timeout_s):
             await trio.sleep(LEAVE_NOTICE_S)
-            while self.serving.in_flight:
-                await trio.sleep(DRAIN_POLL_S)
-            self.holdings.leave()
-            await self.reporter.report_all()
-            for rebalancer in self.rebalancers.values():
-                with contextlib.suppress(PlatformError):
-                    await rebalancer.lease.give_back()
-            await self.membership.announce_leaving()
+            await close()
+            await self._hand_over()
+
+    async def _hand_over(self):
+        """Give back everything that others can use."""
+        self.holdings.leave()
+        await self.reporter.report_all()
+        for rebalancer in self.rebalancers.values():
+            with contextlib.suppress(PlatformError):
+                await rebalancer.lease.give_back()
+        await self.membership.announce_leaving()
 
 
 def _first_record(context: Context) -> MemberRecord:
--- a/packages/measure/plantainshed_measure/rig.py
+++ b/packages/measure/plantainshed_measure/rig.py
@@ -29,6 +29,7 @@
 
 STORE_DELAY_S = 0.004
 CUT_NOTICED_S = 1.0
+CLOSE_POLL_S = 0.01
 REGION_DELAY_S = 0.012
 DOMAIN_DELAY_S = 0.001
 LEAVE_TIMEOUT_S = 60.0
@@ -78,6 +79,12 @@
         self.is_accepting = True
         self.requests: set[trio.CancelScope] = set()
 
+    async def close(self):
+        """Accept nothing more, and wait for the exchanges under way."""
+        self.is_accepting = False
+        while self.requests:
+            await trio.sleep(CLOSE_POLL_S)
+
 
 class Rig:
     """A fleet in memory.
@@ -186,8 +193,7 @@
         """Stop a VM as planned."""
         running = self.vms[vm]
         self.planned_stops.add(vm)
-        await running.node.leave(LEAVE_TIMEOUT_S)
-        running.is_accepting = False
+        await running.node.leave(running.close, LEAVE_TIMEOUT_S)
         self.kill_vm(vm)
         self.forget_vm(vm)
 
--- a/tests/entry/test_daemon.py
+++ b/tests/entry/test_daemon.py
@@ -236,6 +236,23 @@
                 running.stop.set()
             self.assertEqual(answers[0][1], b"whole")
 
+    @on_real_clock
+    async def test_request_at_the_last_moment_is_not_cut(self):
+        """Every replaced VM costs a request or two.
+
+        A request comes on a kept connection after the VM has seen that none
+        is running, while it hands over its parts, and the process ends.
+        """
+        async with running_daemon() as running:
+            stopped_answering = False
+            async with connected(running.address, 2) as connection:
+                key = (b"authorization", b"Bearer " + KEY.text.encode())
+                running.stop.set()
+                while not stopped_answering:
+                    head, _ = await connection.request("GET", "/prenota/1", [key])
+                    self.assertEqual(head.status, 200)
+                    stopped_answering = head.header(b"connection") == "close"
+
     @on_real_clock
     async def test_head_request_has_no_body(self):
         async with running_daemon() as running, connected(running.address, 2) as c:
