Keep requests off slow targets while anything else has room

Ruled out: sorting by expected time alone (p99 unchanged: under load the slow ones are all that is left in the domain). Change: targets are ordered by expected time, and one that takes more than twice its pool's time is used only when no domain has other room.

--- a/packages/entry/plantainshed_entry/attempts.py
+++ b/packages/entry/plantainshed_entry/attempts.py
@@ -89,9 +89,10 @@
         except AttemptFailed as failure:
             self._learn_from(call, state, failure, marked)
             return failure
-        state.note_success()
+        seconds = trio.current_time() - began_at
+        state.note_success(seconds)
         self.poison.note_success(call.fingerprint)
-        self.targets.note_service_time(call.pool.name, trio.current_time() - began_at)
+        self.targets.note_service_time(call.pool.name, seconds)
         return None
 
     def _learn_from(
--- a/packages/entry/plantainshed_entry/routing.py
+++ b/packages/entry/plantainshed_entry/routing.py
@@ -135,19 +135,23 @@
         )
 
     async def _try_domains(self, call, domains, excluded, alone) -> Slot | None:
+        """Try the domains in order; slow targets only when nothing else has room."""
         own_domain = self.membership.identity.failure_domain
         for failure_domain in domains:
             if not await self._is_within_cap(call, failure_domain):
                 continue
             if failure_domain == own_domain:
                 state = self.targets.take_slot(
-                    call.pool.name, own_domain, excluded, alone
+                    call.pool.name, own_domain, excluded, alone, slow=False
                 )
                 if state is not None:
                     return Slot(state)
             slot = await self._borrow(call, failure_domain, excluded, alone)
             if slot is not None:
                 return slot
+        if own_domain in domains and await self._is_within_cap(call, own_domain):
+            state = self.targets.take_slot(call.pool.name, own_domain, excluded, alone)
+            return Slot(state) if state is not None else None
         return None
 
     async def _borrow(
@@ -196,10 +200,11 @@
             if state.part is not None
             and state.part.free > 0
             and not (alone and state.runs_marked)
+            and not self.targets.is_slow(state)
         ]
         if not candidates:
             return None
-        best = min(candidates, key=lambda state: state.load)
+        best = min(candidates, key=lambda state: state.expected_s)
         return SLOTS_PREFIX + best.target.name
 
     # Which failure domains, in which order.
