Compare a domain's beats only with earlier ones of the same VM

Cause: found while splitting membership: the beat of a domain was its sender's clock, and trio's clocks start at random offsets. Change: beats are counted and compared by sending run; test with a delegate that restarted. The leaving VMs of the platform's list now reach all VMs, not only its readers.

--- a/packages/coordination/plantainshed_coordination/members.py
+++ b/packages/coordination/plantainshed_coordination/members.py
@@ -4,9 +4,10 @@
 
 from attrs import define, field
 
-from .peer_pb2 import MemberRecord
+from .peer_pb2 import DomainBeat, MemberRecord
 
 REPLACED_GRACE_S = 4.0
+NEWS_S = 4.0
 
 
 class MemberState(IntEnum):
@@ -80,7 +81,8 @@
 
     members: dict[str, Member] = field(factory=dict)
     gone: dict[tuple[str, int], float] = field(factory=dict)
-    domain_beats: dict[str, int] = field(factory=dict)
+    # By domain and sender, the one that was noted last at the end.
+    domain_beats: dict[tuple[str, str], DomainBeat] = field(factory=dict)
     domain_heard_at: dict[str, float] = field(factory=dict)
 
     def merge(self, record: MemberRecord, now: float) -> bool:
@@ -110,11 +112,26 @@
             member.beat = beat
             member.heard_at = now
 
-    def note_domain_beat(self, failure_domain: str, beat: int, now: float):
-        """Note that a failure domain was reachable at that beat of it."""
-        if beat > self.domain_beats.get(failure_domain, -1):
-            self.domain_beats[failure_domain] = beat
-            self.domain_heard_at[failure_domain] = now
+    def note_domain_beat(self, beat: DomainBeat, now: float):
+        """Note that a failure domain was reachable when it made that beat.
+
+        Beats are compared with earlier ones of the same run only. Compared
+        with another VM's, a domain whose longest-running delegate dies would
+        seem cut off until the next one has counted as far.
+        """
+        known = self.domain_beats.get((beat.failure_domain, beat.vm))
+        new = (beat.incarnation, beat.beat)
+        if known is None or new > (known.incarnation, known.beat):
+            self.domain_beats.pop((beat.failure_domain, beat.vm), None)
+            self.domain_beats[beat.failure_domain, beat.vm] = beat
+            self.domain_heard_at[beat.failure_domain] = now
+
+    def newest_beat(self, failure_domain: str) -> DomainBeat | None:
+        """Return the beat of a failure domain that was noted last."""
+        for beat in reversed(self.domain_beats.values()):
+            if beat.failure_domain == failure_domain:
+                return beat
+        return None
 
     def note_gone(self, vm: str, incarnation: int, now: float) -> bool:
         """Note that an incarnation will never act again."""
--- a/packages/coordination/plantainshed_coordination/membership.py
+++ b/packages/coordination/plantainshed_coordination/membership.py
@@ -3,30 +3,23 @@
 Inside its failure domain a VM keeps one task for each peer, which sends
 heartbeats. A heartbeat carries what the sender heard of others, so that one
 lost link makes nobody suspect. Between domains two delegates, chosen by
-rendezvous hashing, exchange summaries; what is new in one is passed on inside.
-The platform's list of VMs, which lags, is followed by two VMs of each domain.
+rendezvous hashing, exchange summaries (`summaries`). The platform's list of
+VMs, which lags, is followed by two VMs of each domain (`vm_list`).
 """
 
-import contextlib
 from collections.abc import Callable
 
 import trio
 from attrs import frozen
 
 from .digests import rendezvous_order
-from .errors import PlatformError
 from .identity import Identity
-from .members import Liveness, MemberState, MemberTable
+from .members import NEWS_S, Liveness, MemberState, MemberTable
 from .network import PeerNetwork
-from .peer_pb2 import (
-    BeatDigest,
-    DomainBeat,
-    Gone,
-    Heartbeat,
-    MemberRecord,
-    Summary,
-)
+from .peer_pb2 import BeatDigest, Gone, Heartbeat, MemberRecord
 from .platform import Platform
+from .summaries import Summaries
+from .vm_list import VmList
 
 BEAT_S = 1.0
 TICK_S = 0.5
@@ -34,11 +27,8 @@
 SILENT_S = 6.0
 PAUSE_S = 2.5
 WAKE_WAIT_S = 1.0
-NEWS_S = 4.0
-LIST_PERIOD_S = 2.0
+LEAVING_FRESH_S = 10.0
 BEATS_A_SECOND = 8
-DELEGATES = 2
-FULL_SUMMARY_EVERY = 5
 
 
 @frozen
@@ -83,7 +73,6 @@
     ):
         self.identity = identity
         self.network = network
-        self.platform = platform
         self.seeds = {seed.vm: seed for seed in seeds if seed.vm != identity.vm}
         self.record = record
         self.table = MemberTable()
@@ -92,8 +81,7 @@
         self.beat = 0
         self.last_tick = trio.current_time()
         self.contact_at = -SILENT_S
-        self.platform_leaving: set[str] = set()
-        self.was_listed: set[tuple[str, int]] = set()
+        self.leaving_until: dict[str, float] = {}
         self.extra_of_heartbeat: Callable[[], bytes] = bytes
         self.extra_of_summary: Callable[[], bytes] = bytes
         self.on_heartbeat_extra: Callable[[str, bytes], None] = lambda vm, data: None
@@ -102,18 +90,18 @@
         self._kicked = trio.Event()
         self._peer_tasks: set[str] = set()
         self._domain_tasks: set[str] = set()
-        self._summary_beats = 0
         self._has_been_ready = False
         for seed in self.seeds.values():
             network.addresses[seed.vm] = seed.peer
         network.handlers["heartbeat"] = self._on_heartbeat
-        network.handlers["summary"] = self._on_summary
+        self.summaries = Summaries(self)
+        self.vm_list = VmList(self, platform)
 
     async def run(self):
         """Keep up the view until cancelled."""
         self.last_tick = trio.current_time()
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._follow_list)
+            nursery.start_soon(self.vm_list.run)
             while True:
                 self._start_tasks(nursery)
                 self._notice_pause(nursery)
@@ -144,8 +132,8 @@
         self.update_record(state=MemberState.LEFT)
         for vm in self.domain_peers():
             await self.network.send(vm, "heartbeat", self._heartbeat())
-        for domain in self._other_domains():
-            await self._send_summary(domain)
+        for domain in self.other_domains():
+            await self.summaries.send(domain)
 
     # Questions.
 
@@ -238,6 +226,18 @@
         reachable = {name for name, at in heard if now - at < SILENT_S}
         return reachable | {self.identity.failure_domain}
 
+    def leaving_vms(self) -> list[str]:
+        """Return the VMs that the platform is about to take away."""
+        now = trio.current_time()
+        return sorted(vm for vm, until in self.leaving_until.items() if until > now)
+
+    def note_leaving(self, vms):
+        """Take in what a reader of the platform's list says is leaving."""
+        until = trio.current_time() + LEAVING_FRESH_S
+        for vm in vms:
+            if vm not in self.leaving_vms():
+                self.leaving_until[vm] = until
+
     def alone_for(self) -> float:
         """Return how long, in seconds, nobody at all has been heard."""
         return max(0.0, trio.current_time() - self.contact_at)
@@ -249,19 +249,20 @@
             if vm not in self._peer_tasks:
                 self._peer_tasks.add(vm)
                 nursery.start_soon(self._beat_to, vm)
-        for domain in self._other_domains():
+        for domain in self.other_domains():
             if domain not in self._domain_tasks:
                 self._domain_tasks.add(domain)
-                nursery.start_soon(self._summarize_to, domain)
+                nursery.start_soon(self.summaries.keep_sending, domain)
 
     async def _beat_to(self, vm: str):
         while self.liveness(vm) is not Liveness.GONE:
             await self.network.send(vm, "heartbeat", self._heartbeat())
             peers = len(self._peer_tasks)
-            await self._pause_or_kick(max(BEAT_S, peers / BEATS_A_SECOND))
+            await self.pause_or_kick(max(BEAT_S, peers / BEATS_A_SECOND))
         self._peer_tasks.discard(vm)
 
-    async def _pause_or_kick(self, seconds: float):
+    async def pause_or_kick(self, seconds: float):
+        """Wait for a while, or until there is news to send."""
         with trio.move_on_after(seconds):
             await self._kicked.wait()
 
@@ -279,127 +280,41 @@
                 heartbeat.digests.append(_beat_digest(member))
             if now - member.changed_at < NEWS_S:
                 heartbeat.news.append(member.record)
-        for domain, beat in self.table.domain_beats.items():
-            heartbeat.domain_beats.append(DomainBeat(failure_domain=domain, beat=beat))
-        heartbeat.gone.extend(self._recently_gone(now))
+        heartbeat.domain_beats.extend(self.table.domain_beats.values())
+        heartbeat.gone.extend(self.recently_gone(now))
+        heartbeat.leaving.extend(self.leaving_vms())
         return heartbeat
 
     async def _on_heartbeat(self, sender, message: Heartbeat):
         now = trio.current_time()
         self.contact_at = now
         is_new = message.sender.vm not in self.table.members
-        self._merge_record(message.sender, now)
+        self.merge_record(message.sender, now)
         self.table.note_beat(
             message.sender.vm, message.sender.incarnation, message.beat, now
         )
         for record in message.news:
-            self._merge_record(record, now)
+            self.merge_record(record, now)
         for digest in message.digests:
             self.table.note_beat(digest.vm, digest.incarnation, digest.beat, now)
-        for item in message.domain_beats:
-            self.table.note_domain_beat(item.failure_domain, item.beat, now)
-        self._merge_gone(message.gone, now)
+        for beat in message.domain_beats:
+            self.table.note_domain_beat(beat, now)
+        self.note_leaving(message.leaving)
+        self.merge_gone(message.gone, now)
         self.on_heartbeat_extra(message.sender.vm, message.extra)
         if message.wants_all or is_new:
-            await self._send_everything(message.sender.vm)
-
-    async def _send_everything(self, vm: str):
-        """Send a newcomer all records, one summary for each failure domain."""
-        for domain in [self.identity.failure_domain, *self._other_domains()]:
-            await self.network.send(vm, "summary", self._summary_of(domain, full=True))
+            await self.summaries.send_everything(message.sender.vm)
 
-    # Summaries between failure domains.
-
-    async def _summarize_to(self, domain: str):
-        while True:
-            if self.is_among_first(domain, DELEGATES):
-                await self._send_summary(domain)
-            await self._pause_or_kick(BEAT_S)
-
-    async def _send_summary(self, domain: str):
-        self._summary_beats += 1
-        full = self._summary_beats % FULL_SUMMARY_EVERY == 0 or (
-            domain not in self.reachable_domains()
-        )
-        summary = self._summary_of(self.identity.failure_domain, full)
-        for vm in self._receivers_in(domain):
-            await self.network.send(vm, "summary", summary)
-
-    def _receivers_in(self, domain: str) -> list[str]:
-        """Return whom to send a summary: one live VM, or all while none is known.
-
-        Which delegate sends to which receiver is chosen by hashing, so that the
-        two pairs are distinct paths where they can be.
-        """
-        live = self.live_in_domain(domain)
-        if live:
-            return rendezvous_order(self.identity.vm, live)[:1]
-        known = [
-            m.vm for m in self.table.members.values() if m.failure_domain == domain
-        ]
-        seeds = [s.vm for s in self.seeds.values() if s.failure_domain == domain]
-        return sorted({*known, *seeds})
-
-    def _summary_of(self, domain: str, full: bool) -> Summary:
-        now = trio.current_time()
-        is_own = domain == self.identity.failure_domain
-        beat = int(now * 10) if is_own else self.table.domain_beats.get(domain, 0)
-        summary = Summary(failure_domain=domain, beat=beat, sender=self.record)
-        if is_own:
-            summary.members.append(self.record)
-            summary.extra = self.extra_of_summary()
-        for member in self.table.members.values():
-            if member.failure_domain != domain:
-                continue
-            if full or now - member.changed_at < NEWS_S:
-                summary.members.append(member.record)
-            liveness = self.liveness(member.vm)
-            if liveness is Liveness.SUSPECT:
-                summary.suspects.append(member.vm)
-            elif liveness in (Liveness.SILENT, Liveness.GONE):
-                summary.silent.append(member.vm)
-        summary.gone.extend(self._recently_gone(now))
-        return summary
-
-    async def _on_summary(self, sender, message: Summary):
-        now = trio.current_time()
-        self.contact_at = now
-        from_outside = message.sender.failure_domain != self.identity.failure_domain
-        changed = self._merge_record(message.sender, now)
-        for record in message.members:
-            changed |= self._merge_record(record, now)
-        if message.failure_domain != self.identity.failure_domain:
-            self.table.note_domain_beat(message.failure_domain, message.beat, now)
-            changed |= self._take_verdicts(message)
-        changed |= self._merge_gone(message.gone, now)
-        self.on_summary_extra(message.failure_domain, message.extra)
-        if from_outside and (changed or message.extra):
-            for vm in self.domain_peers():
-                message.sender.CopyFrom(self.record)
-                await self.network.send(vm, "summary", message)
-
-    def _take_verdicts(self, message: Summary) -> bool:
-        changed = False
-        for member in self.table.members.values():
-            if member.failure_domain != message.failure_domain:
-                continue
-            verdict = Liveness.ALIVE
-            if member.vm in message.suspects:
-                verdict = Liveness.SUSPECT
-            elif member.vm in message.silent:
-                verdict = Liveness.SILENT
-            changed |= verdict is not member.verdict
-            member.verdict = verdict
-        return changed
-
-    def _other_domains(self) -> list[str]:
+    def other_domains(self) -> list[str]:
+        """Return the known failure domains without the own one."""
         names = {member.failure_domain for member in self.table.members.values()}
         names |= {seed.failure_domain for seed in self.seeds.values()}
         return sorted(names - {self.identity.failure_domain})
 
     # What both kinds of message carry.
 
-    def _merge_record(self, record: MemberRecord, now: float) -> bool:
+    def merge_record(self, record: MemberRecord, now: float) -> bool:
+        """Take over a record if it is newer; return whether it was."""
         if record.vm == self.identity.vm:
             self._meet_namesake(record.incarnation)
             return False
@@ -427,7 +342,8 @@
         self.network.identity = self.identity
         self.record.incarnation = incarnation + 1
 
-    def _merge_gone(self, items, now: float) -> bool:
+    def merge_gone(self, items, now: float) -> bool:
+        """Note runs that are over; return whether any is news."""
         changed = False
         for item in items:
             is_self = item.vm == self.identity.vm
@@ -436,14 +352,15 @@
             changed |= self.table.note_gone(item.vm, item.incarnation, now)
         return changed
 
-    def _recently_gone(self, now: float) -> list[Gone]:
+    def recently_gone(self, now: float) -> list[Gone]:
+        """Return what was learnt lately of runs that are over."""
         return [
             Gone(vm=vm, incarnation=incarnation)
             for (vm, incarnation), at in self.table.gone.items()
             if now - at < NEWS_S
         ]
 
-    # Pauses and the platform's list.
+    # Pauses.
 
     def _notice_pause(self, nursery):
         now = trio.current_time()
@@ -464,29 +381,6 @@
                 await trio.sleep(TICK_S / 10)
         self.waking = False
 
-    async def _follow_list(self):
-        while True:
-            await trio.sleep(LIST_PERIOD_S)
-            if not self.is_among_first("vm-list", DELEGATES):
-                continue
-            with contextlib.suppress(PlatformError):
-                self._take_list(await self.platform.list_vms())
-
-    def _take_list(self, listed):
-        now = trio.current_time()
-        names = {item.vm for item in listed}
-        self.platform_leaving = {item.vm for item in listed if item.leaving}
-        for member in self.table.members.values():
-            run = (member.vm, member.record.incarnation)
-            if member.vm in names:
-                self.was_listed.add(run)
-            elif run in self.was_listed and self.liveness(member.vm) is Liveness.SILENT:
-                # The list lags: a VM that it does not show may be too new for
-                # it. Only one that it showed, that it dropped, and that is
-                # silent is certain to be gone.
-                self.table.note_gone(*run, now)
-        self.kick()
-
 
 LIVENESS_ORDER = [Liveness.ALIVE, Liveness.SUSPECT, Liveness.SILENT, Liveness.GONE]
 
--- /dev/null
+++ b/packages/coordination/plantainshed_coordination/vm_list.py
@@ -0,0 +1,60 @@
+"""The platform's list of VMs, which lags, as a source of certainty.
+
+Two VMs of each failure domain read it. It says which VMs are about to leave,
+and, together with silence, which are gone for good.
+"""
+
+import contextlib
+from typing import TYPE_CHECKING
+
+import trio
+
+from .errors import PlatformError
+from .members import Liveness
+from .platform import ListedVm, Platform
+
+if TYPE_CHECKING:
+    from .membership import Membership
+
+PERIOD_S = 2.0
+READERS = 2
+
+
+class VmList:
+    """Follows the platform's list for a membership.
+
+    Attributes
+    ----------
+    was_listed : set of (str, int)
+        Runs that the list has shown, as VM and incarnation.
+    """
+
+    def __init__(self, membership: "Membership", platform: Platform):
+        self.membership = membership
+        self.platform = platform
+        self.was_listed: set[tuple[str, int]] = set()
+
+    async def run(self):
+        """Read the list until cancelled, if this VM is one of its readers."""
+        while True:
+            await trio.sleep(PERIOD_S)
+            if not self.membership.is_among_first("vm-list", READERS):
+                continue
+            with contextlib.suppress(PlatformError):
+                self._take(await self.platform.list_vms())
+
+    def _take(self, listed: list[ListedVm]):
+        now = trio.current_time()
+        names = {item.vm for item in listed}
+        self.membership.note_leaving(item.vm for item in listed if item.leaving)
+        for member in self.membership.table.members.values():
+            run = (member.vm, member.record.incarnation)
+            silent = self.membership.liveness(member.vm) is Liveness.SILENT
+            if member.vm in names:
+                self.was_listed.add(run)
+            elif run in self.was_listed and silent:
+                # The list lags: a VM that it does not show may be too new for
+                # it. Only one that it showed, that it dropped, and that is
+                # silent is certain to be gone.
+                self.membership.table.note_gone(*run, now)
+        self.membership.kick()
--- a/packages/entry/plantainshed_entry/facts.py
+++ b/packages/entry/plantainshed_entry/facts.py
@@ -49,7 +49,7 @@
         silence_s = now - store_heard_at
         self.incidents.observe("store", is_watching and silence_s > STORE_SILENCE_S)
         reachable = self.membership.reachable_domains()
-        for name in self.membership.table.domain_beats:
+        for name in self.membership.table.domain_heard_at:
             what = f"failure domain {name} unreachable"
             self.incidents.observe(what, name not in reachable)
         for vm in self.membership.table.members:
--- a/packages/entry/plantainshed_entry/steering.py
+++ b/packages/entry/plantainshed_entry/steering.py
@@ -114,6 +114,7 @@
         """Return the VMs of a domain that take new callers."""
         membership = self.membership
         ready = []
+        leaving = set(membership.leaving_vms())
         for record in membership.records():
             if record.failure_domain != failure_domain:
                 continue
@@ -121,7 +122,7 @@
                 continue
             if membership.liveness(record.vm) is not Liveness.ALIVE:
                 continue
-            if record.vm in membership.platform_leaving:
+            if record.vm in leaving:
                 continue
             if not self._is_drained(DrainKind.VM, record.vm):
                 ready.append(record.vm)
--- a/tests/coordination/test_membership.py
+++ b/tests/coordination/test_membership.py
@@ -6,6 +6,7 @@
 
 from plantainshed_coordination.members import Liveness
 from plantainshed_coordination.membership import PAUSE_S, SILENT_S
+from plantainshed_coordination.platform import ListedVm
 from tests.support import FOUR_VMS, PartsFleet, on_mock_clock
 
 
@@ -126,6 +127,39 @@
             self.assertGreater(member.record.incarnation, 101)
             self.assertIs(vms["b-1"].membership.liveness("a-1"), Liveness.ALIVE)
 
+    @on_mock_clock
+    async def test_domain_stays_reachable_when_its_oldest_vm_dies(self):
+        """A healthy failure domain seems cut off for hours.
+
+        Its longest-running VM, whose beats have counted far, dies. Those of
+        the other VM are lower and were taken for old ones.
+        """
+        fleet = PartsFleet(FOUR_VMS)
+        async with fleet.running() as vms:
+            await trio.sleep(600)
+            fleet.kill("b-2")
+            await trio.sleep(10)
+            fleet.start("b-2")
+            await trio.sleep(10)
+            fleet.kill("b-1")
+            await trio.sleep(20)
+            view = vms["a-1"].membership
+            self.assertIn("b", view.reachable_domains())
+            self.assertIs(view.liveness("b-2"), Liveness.ALIVE)
+
+    @on_mock_clock
+    async def test_everybody_learns_who_is_leaving(self):
+        fleet = PartsFleet(FOUR_VMS)
+        async with fleet.running() as vms:
+            await trio.sleep(5)
+            fleet.platform.vms["b-1"] = ListedVm("b-1", leaving=True)
+            await trio.sleep(4)
+            for vm in vms.values():
+                self.assertEqual(vm.membership.leaving_vms(), ["b-1"])
+            fleet.platform.vms["b-1"] = ListedVm("b-1", leaving=False)
+            await trio.sleep(30)
+            self.assertEqual(vms["a-1"].membership.leaving_vms(), [])
+
     @on_mock_clock
     async def test_survives_loss_repeats_and_reordering(self):
         fleet = PartsFleet(FOUR_VMS, seed=5)
