Split the rebalancer into plan, work and reports

Cause: one module of 480 lines mixed what parts should be, asking and writing, and reporting demand.

--- a/examples/embed_budget.py
+++ b/examples/embed_budget.py
@@ -7,6 +7,7 @@
 import trio
 
 from plantainshed_coordination.budgets import BudgetKind, BudgetSpec
+from plantainshed_coordination.demand_reporter import DemandReporter
 from plantainshed_coordination.holdings import Holdings
 from plantainshed_coordination.identity import Identity
 from plantainshed_coordination.ledger import fleet_shards
@@ -14,7 +15,7 @@
 from plantainshed_coordination.membership import Membership, SeedMember
 from plantainshed_coordination.network import PeerNetwork
 from plantainshed_coordination.peer_pb2 import MemberRecord
-from plantainshed_coordination.rebalancer import DemandReporter, Rebalancer
+from plantainshed_coordination.rebalancer import Rebalancer
 from plantainshed_standins.memory_network import MemoryNetwork, run_deterministically
 from plantainshed_standins.memory_platform import MemoryPlatform
 
--- a/packages/coordination/plantainshed_coordination/rebalancer.py
+++ b/packages/coordination/plantainshed_coordination/rebalancer.py
@@ -6,53 +6,37 @@
 """
 
 import contextlib
-from collections.abc import Iterable
 
 import trio
-from attrs import evolve, frozen
+from attrs import evolve
 
-from .budgets import BudgetKind, BudgetSpec, Lowered
+from .budgets import Lowered
 from .digests import rendezvous_order
-from .division import divide
 from .errors import CoordinationError, PeerError, PlatformUnavailable
 from .holdings import Holdings
 from .identity import holder_name, split_holder
 from .leases import Lease
-from .ledger import Ledger, LedgerEntry, read_ledger, shard_of, write_ledger
+from .ledger import Ledger, read_ledger, write_ledger
 from .membership import Membership
 from .network import PeerNetwork
 from .peer_pb2 import DemandReport, LowerParts, Part, RestoreParts, SetParts
 from .platform import Platform
+from .rebalance_plan import (
+    REPORT_FRESH_S,
+    Fall,
+    HeardReport,
+    Kept,
+    Levels,
+    RebalancePlan,
+)
 
 PERIOD_S = 1.0
-REPORT_PERIOD_S = 1.0
-REPORTS_A_SECOND = 200
-REPORT_FRESH_S = 6.0
 ASK_TIMEOUT_S = 0.5
-MIN_MOVE = 0.08
 FIRST_LOOK_S = 0.5
 CANDIDACY_BASE_S = 2.0
 CANDIDACY_MAX_S = 120.0
 
 
-@frozen
-class HeardReport:
-    """A demand report and when it came."""
-
-    report: DemandReport
-    at: float
-    wanted: dict[str, float]
-
-
-@frozen
-class Fall:
-    """A part that its holder is asked to lower."""
-
-    holder: str
-    budget: str
-    units: int
-
-
 class Rebalancer:
     """This VM's candidacy for one shard, and the work while it holds it.
 
@@ -80,10 +64,10 @@
         self.holdings = holdings
         self.lease = Lease(platform, f"rebalancer-{shard}", membership.identity.holder)
         self.ledger: Ledger | None = None
-        self.reports: dict[str, HeardReport] = {}
+        self.plan = RebalancePlan(shard, membership, holdings)
         self.writes = 0
         self.marks = 0
-        self.levels: dict[tuple[str, str], float] = {}
+        self.levels: Levels = {}
 
     async def run(self, candidates):
         """Hold the lease when it can be had, and rebalance while it is held.
@@ -147,7 +131,7 @@
                 rebalancer=self.holdings.rebalancer_of.get(self.shard, ""),
             )
         wanted = {item.budget: item.wanted for item in report.demands}
-        self.reports[holder] = HeardReport(report, trio.current_time(), wanted)
+        self.plan.reports[holder] = HeardReport(report, trio.current_time(), wanted)
         if self.ledger is None or report.ledger_version > self.ledger.version:
             return SetParts(shard=self.shard, rebalancer=self.membership.identity.vm)
         return self._parts_message(self.ledger, holder)
@@ -157,19 +141,19 @@
         if self.ledger is None:
             self.ledger = await read_ledger(self.platform, self.shard)
         before = self.ledger
-        targets = self._targets(before)
+        targets = self.plan.targets(before)
         after = evolve(before, entries=dict(before.entries))
-        falls = list(self._falls(before, targets))
+        falls = list(self.plan.falls(before, targets))
         mark = self._next_mark(before.version + 1)
         lowered = await self._collect(falls, before.version + 1, mark)
         changed = False
-        levels: dict[tuple[str, str], float] = {}
+        levels: Levels = {}
         for name, wanted_parts in targets.items():
-            entry = self._next_entry(before, name, wanted_parts, lowered)
+            entry = self.plan.next_entry(before, name, wanted_parts, lowered)
             changed |= entry != before.entries.get(name)
             after.entries[name] = entry
-            levels.update(self._pass_on_level(before, name, entry, lowered))
-        for name in before.entries.keys() - {spec.name for spec in self._specs()}:
+            levels.update(self.plan.pass_on_level(before, name, entry, lowered))
+        for name in before.entries.keys() - {spec.name for spec in self.plan.specs()}:
             changed = True
             del after.entries[name]
         if changed or self._somebody_waits_for(before.version):
@@ -210,104 +194,14 @@
         return any(
             heard.report.ledger_version > version
             and trio.current_time() - heard.at < REPORT_FRESH_S
-            for heard in self.reports.values()
-        )
-
-    # What should be.
-
-    def _specs(self) -> list[BudgetSpec]:
-        specs = [part.spec for part in self.holdings.parts.values()]
-        return [spec for spec in specs if shard_of(spec) == self.shard]
-
-    def _targets(self, ledger: Ledger) -> dict[str, dict[str, int]]:
-        """Return the parts that each budget should have, where it should change."""
-        targets = {}
-        for spec in self._specs():
-            entry = ledger.entries.get(spec.name, LedgerEntry(spec.units, {}))
-            present = self._present(spec.name, entry)
-            movable = self._movable_holders(spec)
-            fixed = {h: u for h, u in present.items() if h not in movable}
-            free_units = max(0, spec.units - sum(fixed.values()))
-            wanted = {h: self._wanted(h, spec) for h in movable}
-            target = {**fixed, **divide(free_units, wanted)}
-            if self._is_worth_it(spec, entry, target):
-                targets[spec.name] = target
-        return targets
-
-    def _present(self, name: str, entry: LedgerEntry) -> dict[str, int]:
-        """Return the parts that are still held: not of runs that are over.
-
-        A leaving run has said what it keeps until its last request has ended.
-        """
-        present = {}
-        for holder, units in entry.parts.items():
-            if self._is_over(holder):
-                continue
-            heard = self.reports.get(holder)
-            if heard is not None and heard.report.leaving:
-                kept = {item.budget: item.units for item in heard.report.demands}
-                units = min(units, kept.get(name, 0))
-            if units:
-                present[holder] = units
-        return present
-
-    def _movable_holders(self, spec: BudgetSpec) -> list[str]:
-        """Return the holders whose parts can change now."""
-        fresh = [
-            (holder, heard)
-            for holder, heard in self.reports.items()
-            if trio.current_time() - heard.at < REPORT_FRESH_S
-            and not heard.report.leaving
-            and not self._is_over(holder)
-        ]
-        if spec.failure_domain:
-            near = [
-                holder
-                for holder, heard in fresh
-                if heard.report.failure_domain == spec.failure_domain
-            ]
-            return sorted(near)
-        return sorted(holder for holder, _ in fresh)
-
-    def _wanted(self, holder: str, spec: BudgetSpec) -> float:
-        return self.reports[holder].wanted.get(spec.name, 0.0)
-
-    def _is_over(self, holder: str) -> bool:
-        """Tell whether a holder's part can go to others.
-
-        Certainty that the run will not act again comes from the platform or
-        from its successor. It must also have been silent for a while: should
-        it only be paused, it finds on waking that it was and stops.
-        """
-        now = trio.current_time()
-        return self.membership.table.is_over(*split_holder(holder), now)
-
-    def _is_worth_it(self, spec: BudgetSpec, entry: LedgerEntry, target) -> bool:
-        if entry.total != spec.units or entry.held < sum(target.values()):
-            return True
-        if any(holder not in target for holder in entry.parts):
-            return True
-        moved = max(
-            (abs(units - entry.parts.get(h, 0)) for h, units in target.items()),
-            default=0,
+            for heard in self.plan.reports.values()
         )
-        least = 1 if spec.kind is BudgetKind.COUNT else MIN_MOVE * spec.units
-        return moved > least
 
     # Falls, ledger, rises.
 
-    def _falls(self, ledger: Ledger, targets) -> Iterable[Fall]:
-        for name, target in targets.items():
-            entry = ledger.entries.get(name)
-            if entry is None:
-                continue
-            for holder, units in entry.parts.items():
-                if not self._is_over(holder) and target.get(holder, 0) < units:
-                    yield Fall(holder, name, target.get(holder, 0))
-
     async def _collect(self, falls: list[Fall], for_version: int, mark: str):
         """Ask for all falls at once; return what each holder says it keeps."""
-        kept: dict[tuple[str, str], Lowered] = {}
+        kept: Kept = {}
         by_holder: dict[str, list[Fall]] = {}
         for fall in falls:
             by_holder.setdefault(fall.holder, []).append(fall)
@@ -337,54 +231,6 @@
         for part in answer.parts:
             kept[holder, part.budget] = Lowered(part.units, part.level)
 
-    def _next_entry(self, ledger: Ledger, name, target, lowered) -> LedgerEntry:
-        spec = self.holdings.parts[name].spec
-        entry = ledger.entries.get(name)
-        if entry is None:
-            return LedgerEntry(spec.units, dict(target))
-        parts = {
-            holder: min(units, lowered.get((holder, name), Lowered(units)).units)
-            for holder, units in self._present(name, entry).items()
-        }
-        total = max(spec.units, sum(parts.values()))
-        lacking = {
-            holder: float(units - parts.get(holder, 0))
-            for holder, units in target.items()
-            if units > parts.get(holder, 0)
-        }
-        free = min(max(0, spec.units - sum(parts.values())), int(sum(lacking.values())))
-        for holder, units in divide(free, lacking, equal_share=0.0).items():
-            parts[holder] = parts.get(holder, 0) + units
-        return LedgerEntry(total, {h: u for h, u in parts.items() if u})
-
-    def _pass_on_level(self, before: Ledger, name, entry: LedgerEntry, lowered):
-        """Return the tokens that come with each raised part, by (holder, budget).
-
-        They are those that lowered parts gave up. Without this a workspace
-        would lose its burst whenever its callers move to another VM. A budget
-        that never was in the ledger starts full.
-        """
-        spec = self.holdings.parts[name].spec
-        if spec.kind is not BudgetKind.RATE:
-            return {}
-        old = before.entries.get(name)
-        if old is None:
-            given_up = spec.burst
-        else:
-            given_up = sum(
-                low.level for (_, budget), low in lowered.items() if budget == name
-            )
-        old_parts = old.parts if old else {}
-        raised = {
-            holder: units - old_parts.get(holder, 0)
-            for holder, units in entry.parts.items()
-            if units > old_parts.get(holder, 0)
-        }
-        total = sum(raised.values())
-        return {
-            (holder, name): given_up * units / total for holder, units in raised.items()
-        }
-
     async def _publish(self, before: Ledger, after: Ledger, levels, mark: str):
         version = before.version + 1
         self.ledger = await write_ledger(
@@ -392,8 +238,8 @@
         )
         self.writes += 1
         self.levels = levels
-        for holder in list(self.reports):
-            if self._is_over(holder):
+        for holder in list(self.plan.reports):
+            if self.plan.is_over(holder):
                 continue
             vm, incarnation = split_holder(holder)
             message = self._parts_message(self.ledger, holder)
@@ -420,65 +266,3 @@
                 )
             )
         return message
-
-
-class DemandReporter:
-    """Reports this VM's demand to the rebalancer of each shard.
-
-    Parameters
-    ----------
-    network : PeerNetwork
-    membership : Membership
-    holdings : Holdings
-    rebalancers : dict of str to Rebalancer
-        This VM's own candidacies by shard.
-    """
-
-    def __init__(self, network, membership, holdings, rebalancers):
-        self.network = network
-        self.membership = membership
-        self.holdings = holdings
-        self.rebalancers = rebalancers
-        network.handlers["demand_report"] = self._on_report
-
-    async def run(self):
-        """Report until cancelled."""
-        while True:
-            await self.report_all()
-            fleet = len(self.membership.table.members)
-            await trio.sleep(max(REPORT_PERIOD_S, fleet / REPORTS_A_SECOND))
-
-    async def report_all(self):
-        """Report every shard once."""
-        async with trio.open_nursery() as nursery:
-            for shard in self.holdings.shards():
-                if shard in self.rebalancers:
-                    nursery.start_soon(self._report, shard)
-
-    async def _report(self, shard: str):
-        identity = self.membership.identity
-        report = self.holdings.report(shard, identity.failure_domain)
-        vm = self.holdings.rebalancer_of.get(shard) or self._guess(shard)
-        rebalancer = self.rebalancers[shard]
-        if rebalancer.lease.is_held:
-            self.holdings.apply(await rebalancer.on_report(identity, report))
-            return
-        if vm == identity.vm:
-            self.holdings.rebalancer_of.pop(shard, None)
-            return
-        try:
-            answer = await self.network.ask(vm, "demand_report", report, ASK_TIMEOUT_S)
-        except PeerError:
-            self.holdings.rebalancer_of.pop(shard, None)
-            return
-        self.holdings.apply(answer)
-
-    def _guess(self, shard: str) -> str:
-        usable = self.membership.usable_vms()
-        return rendezvous_order(shard, usable)[0]
-
-    async def _on_report(self, sender, report: DemandReport):
-        rebalancer = self.rebalancers.get(report.shard)
-        if rebalancer is None:
-            return None
-        return await rebalancer.on_report(sender, report)
--- a/packages/entry/plantainshed_entry/node.py
+++ b/packages/entry/plantainshed_entry/node.py
@@ -9,6 +9,7 @@
 
 import trio
 
+from plantainshed_coordination.demand_reporter import DemandReporter
 from plantainshed_coordination.errors import PlatformError
 from plantainshed_coordination.follower import DocumentFollower
 from plantainshed_coordination.holdings import Holdings
@@ -19,7 +20,7 @@
 from plantainshed_coordination.network import PeerNetwork
 from plantainshed_coordination.operations import OperationBook
 from plantainshed_coordination.peer_pb2 import MemberRecord
-from plantainshed_coordination.rebalancer import DemandReporter, Rebalancer
+from plantainshed_coordination.rebalancer import Rebalancer
 from plantainshed_coordination.rumors import RumorBook
 from plantainshed_coordination.versioned import DocumentStore, Revision
 
--- a/tests/support.py
+++ b/tests/support.py
@@ -6,6 +6,7 @@
 import trio
 
 from plantainshed_coordination.budgets import BudgetKind, BudgetSpec
+from plantainshed_coordination.demand_reporter import DemandReporter
 from plantainshed_coordination.holdings import Holdings
 from plantainshed_coordination.identity import Identity
 from plantainshed_coordination.ledger import domain_shard, fleet_shards
@@ -16,7 +17,7 @@
 from plantainshed_coordination.operations import OperationBook
 from plantainshed_coordination.peer_pb2 import MemberRecord
 from plantainshed_coordination.platform import ListedVm
-from plantainshed_coordination.rebalancer import DemandReporter, Rebalancer
+from plantainshed_coordination.rebalancer import Rebalancer
 from plantainshed_coordination.rumors import RumorBook
 from plantainshed_standins.memory_network import MemoryNetwork, run_deterministically
 from plantainshed_standins.memory_platform import MemoryPlatform
