--- /dev/null
+++ b/tests/operator/test_cli.py
@@ -0,0 +1,160 @@
+"""The command line, as a person types it."""
+
+import contextlib
+import io
+import json
+import sys
+import tempfile
+import threading
+import unittest
+from pathlib import Path
+from unittest import mock
+
+import fire
+import trio
+
+from plantainshed.cli import EXIT_CODES, main
+from plantainshed.cli.commands import Plantainshed
+from plantainshed.errors import BadUsage, EditConflict, Unreachable
+from plantainshed_entry.status import ExitCode
+from plantainshed_http.server import Stopping, serve_http
+from plantainshed_model.errors import InvalidDocument, UnknownName
+from plantainshed_standins.memory_platform import MemoryPlatform
+from plantainshed_standins.platform_server import PlatformServer
+
+EXAMPLES = Path(__file__).parents[2] / "examples"
+DOCUMENT = str(EXAMPLES / "cerimonia" / "document.json")
+
+
+class PlatformThread:
+    """A platform in a thread of its own; commands run their own trio."""
+
+    def __init__(self):
+        self.address = ""
+        self._token = None
+        self._stopping = None
+        self._ready = threading.Event()
+        self._thread = threading.Thread(target=trio.run, args=(self._serve,))
+
+    async def _serve(self):
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        self.address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+        self._token = trio.lowlevel.current_trio_token()
+        self._stopping = Stopping()
+        self._ready.set()
+        server = PlatformServer(MemoryPlatform())
+        await serve_http(server.handle, listeners, self._stopping)
+
+    def __enter__(self):
+        self._thread.start()
+        self._ready.wait()
+        return self
+
+    def __exit__(self, *exc_info):
+        self._token.run_sync_soon(self._stopping.set)
+        self._thread.join()
+
+
+class TestCommands(unittest.TestCase):
+    def setUp(self):
+        self.platform = self.enterContext(PlatformThread())
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        self.folder = Path(folder)
+        self.settings = self.folder / "operator.ini"
+        self.settings.write_text(
+            f"[platform]\naddress = {self.platform.address}\n"
+            "[fleet]\ncontrols = 127.0.0.1:1\n[operator]\nname = ann\n"
+        )
+
+    def run_command(self, *words):
+        output = io.StringIO()
+        command = [*words, f"--settings={self.settings}"]
+        with contextlib.redirect_stdout(output):
+            fire.Fire(Plantainshed, command=command)
+        return output.getvalue()
+
+    def test_apply_show_history_and_back(self):
+        self.run_command("document", "apply", DOCUMENT, "--reason=first")
+        shown = json.loads(self.run_command("document", "show"))
+        self.assertEqual(len(shown["workspaces"]), 8)
+        self.run_command("drain", "start", "target", "prenota-01")
+        self.assertIn("prenota-01", self.run_command("drain", "list"))
+        self.run_command("document", "back", "1", "--reason=not_now")
+        self.assertIn("(none)", self.run_command("drain", "list"))
+        rows = json.loads(self.run_command("document", "history", "--json"))
+        self.assertEqual([row["version"] for row in rows], [3, 2, 1])
+        self.assertEqual(rows[0]["author"], "ann")
+
+    def test_shift_through_its_states(self):
+        self.run_command("document", "apply", DOCUMENT, "--reason=first")
+        start = ("shift", "start", "m", "calendario", "veneto", "lombardia", "20")
+        self.run_command(*start)
+        for verb, state in (
+            ("stop", "stopped"),
+            ("resume", "running"),
+            ("reverse", "reversed"),
+        ):
+            self.run_command("shift", verb, "m")
+            self.assertIn(state, self.run_command("shift", "list"))
+        self.run_command("shift", "remove", "m")
+        self.assertIn("(none)", self.run_command("shift", "list"))
+
+    def test_key_is_printed_once(self):
+        self.run_command("document", "apply", DOCUMENT, "--reason=first")
+        issued = json.loads(self.run_command("key", "issue", "milano", "--json"))
+        listed = self.run_command("key", "list")
+        self.assertIn(issued["key_id"], listed)
+        self.assertNotIn(issued["key"], listed)
+        said = self.run_command("key", "withdraw", issued["key_id"])
+        self.assertIn("no VM could be told", said)
+        self.assertIn("withdrawn", self.run_command("key", "list"))
+
+    def test_mistakes_are_named(self):
+        with self.assertRaises(BadUsage):
+            self.run_command("document", "check", str(self.folder / "none.json"))
+        bad = self.folder / "bad.json"
+        bad.write_text('{"workspaces": [{"name": "a", "rate": -1, "burst": 0}]}')
+        with self.assertRaises(InvalidDocument):
+            self.run_command("document", "check", str(bad))
+        self.run_command("document", "apply", DOCUMENT, "--reason=first")
+        with self.assertRaises(UnknownName):
+            self.run_command("shift", "stop", "nothing")
+        with self.assertRaises(BadUsage):
+            self.run_command("drain", "start", "planet", "x")
+        with self.assertRaises(BadUsage):
+            self.run_command("report", "--format=poem")
+        with self.assertRaises(EditConflict):
+            self.run_command("drain", "start", "target", "prenota-01")
+            apply = ("document", "apply", DOCUMENT, "--reason=old", "--base=1")
+            self.run_command(*apply)
+
+    def test_report_says_what_is_unknown(self):
+        self.run_command("document", "apply", DOCUMENT, "--reason=first")
+        facts = json.loads(self.run_command("report", "--format=json"))
+        self.assertIn("all VMs", facts["unknown"][0])
+        self.assertEqual(facts["changes"][0]["reason"], "first")
+        page = self.run_command("report", "--format=html")
+        self.assertIn("Not known", page)
+
+    def test_unreachable_fleet_is_said_so(self):
+        with self.assertRaises(Unreachable):
+            self.run_command("status")
+
+
+class TestMain(unittest.TestCase):
+    def test_exit_codes_differ(self):
+        codes = list(EXIT_CODES.values())
+        self.assertEqual(len(codes), len(set(codes)))
+        self.assertNotIn(ExitCode.OK, codes)
+
+    def test_says_what_is_wrong_and_exits_with_its_code(self):
+        said = io.StringIO()
+        words = ["plantainshed", "status", "--settings=/nowhere.ini"]
+        with (
+            mock.patch.object(sys, "argv", words),
+            contextlib.redirect_stderr(said),
+            self.assertRaises(SystemExit) as ended,
+        ):
+            main()
+        self.assertEqual(ended.exception.code, ExitCode.USAGE)
+        self.assertIn("/nowhere.ini", said.getvalue())
