Send an answer's head with its body, and key ids that are never numbers

Change: heads wait for what follows unless the body comes later; poll instead. (2) Then a repeated booking got 'unknown': its caller left right after the last byte, which cancelled the finish of an answer that was complete. Change: an answer is kept once it is complete, whoever is still there. (3) A key id of digits only was read as a number by the command line (1 in 280 ids, one in a test). Change: ids begin with a letter, and names on the command line stay text.

--- a/packages/coordination/plantainshed_coordination/holdings.py
+++ b/packages/coordination/plantainshed_coordination/holdings.py
@@ -4,14 +4,8 @@
 
 from attrs import define, field
 
-from .budgets import (
-    PART_OF_KIND,
-    BudgetKind,
-    BudgetSpec,
-    CountPart,
-    Lowered,
-    RatePart,
-)
+from .budgets import BudgetKind, BudgetSpec, Lowered
+from .count_part import CountPart
 from .ledger import shard_of
 from .network import PeerNetwork
 from .peer_pb2 import (
@@ -27,8 +21,10 @@
     RestoreParts,
     SetParts,
 )
+from .rate_part import RatePart
 
 AnyPart = RatePart | CountPart
+PART_OF_KIND = {BudgetKind.RATE: RatePart, BudgetKind.COUNT: CountPart}
 GroupChoice = Callable[[str, bool], str | None]
 
 
--- a/packages/coordination/plantainshed_coordination/lending.py
+++ b/packages/coordination/plantainshed_coordination/lending.py
@@ -9,13 +9,16 @@
 import trio
 from attrs import frozen
 
-from .budgets import ROUNDING, RatePart
+from .budgets import (
+    ROUNDING,
+)
 from .digests import rendezvous_order
 from .errors import PeerError
 from .holdings import Holdings
 from .membership import Membership
 from .network import PeerNetwork
 from .peer_pb2 import LoanRequest, LoanReturn
+from .rate_part import RatePart
 
 LOAN_TIMEOUT_S = 0.12
 ASKED_AT_ONCE = 8
--- a/packages/entry/plantainshed_entry/serving.py
+++ b/packages/entry/plantainshed_entry/serving.py
@@ -8,7 +8,6 @@
 
 import orjson
 import trio
-from attrs import frozen
 
 from plantainshed_coordination.membership import Membership
 from plantainshed_coordination.operations import (
@@ -32,6 +31,7 @@
 from .lookup import Lookup
 from .poison import fingerprint
 from .reasons import STATUS, Outcome, Reason
+from .recorded_answers import AnswerRecorder, RecordedAnswer
 from .relay import DEADLINE_HEADER
 
 OPERATION_HEADER = b"operation-id"
@@ -171,24 +171,21 @@
     async def _run_claimed(self, call: Call):
         recorder = AnswerRecorder(call.exchange)
         call.exchange = recorder
-        ended = False
+        did_not_run = False
         try:
             await self._run(call)
-            ended = True
         except Refusal as refusal:
-            if refusal.outcome is Outcome.NOT_RUN:
-                ended = True
-                with trio.CancelScope(shield=True):
-                    await self.operations.release(call.operation)
+            did_not_run = refusal.outcome is Outcome.NOT_RUN
             raise
         finally:
             with trio.CancelScope(shield=True):
-                if ended and recorder.status:
-                    await self.operations.finish(call.operation, recorder.to_bytes())
-                elif not ended:
-                    # Whether it ran is not known. It stays claimed, so that a
-                    # repeat is told so and does not run it again.
-                    await self.operations.finish(call.operation, None)
+                if did_not_run:
+                    await self.operations.release(call.operation)
+                else:
+                    # Without a complete answer nobody knows whether it ran. It
+                    # stays claimed, so that a repeat is told so and not run.
+                    answer = recorder.to_bytes() if recorder.is_complete else None
+                    await self.operations.finish(call.operation, answer)
 
     async def _run(self, call: Call):
         await self.attempts.run(call)
@@ -262,75 +259,6 @@
         del self.calls[self.call.request_id]
 
 
-@frozen
-class RecordedAnswer:
-    """An answer kept for repeats of an operation."""
-
-    status: int
-    headers: list
-    body: bytes
-
-    def to_bytes(self) -> bytes:
-        """Return the answer as bytes."""
-        headers = [[n.decode("latin-1"), v.decode("latin-1")] for n, v in self.headers]
-        return orjson.dumps([self.status, headers]) + b"\n" + self.body
-
-    @classmethod
-    def from_bytes(cls, data: bytes) -> "RecordedAnswer":
-        """Read an answer that `to_bytes` wrote."""
-        head, _, body = data.partition(b"\n")
-        status, headers = orjson.loads(head)
-        pairs = [(n.encode("latin-1"), v.encode("latin-1")) for n, v in headers]
-        return cls(status, pairs, body)
-
-
-class AnswerRecorder:
-    """Passes an answer on to the caller and keeps a copy, if it is small."""
-
-    def __init__(self, exchange: Exchange):
-        self.exchange = exchange
-        self.request = exchange.request
-        self.caller = exchange.caller
-        self.status = 0
-        self.headers = []
-        self.parts: list[bytes] = []
-        self.size = 0
-
-    @property
-    def started(self) -> bool:
-        """Whether the caller has been sent anything."""
-        return self.exchange.started
-
-    def body(self):
-        """Return the request's body as it arrives."""
-        return self.exchange.body()
-
-    async def start(self, status: int, headers):
-        """Send the head of an answer."""
-        self.status = status
-        framing = (b"content-length", b"transfer-encoding")
-        self.headers = [pair for pair in headers if pair[0] not in framing]
-        await self.exchange.start(status, headers)
-
-    async def send(self, chunk: bytes):
-        """Send a piece of the answer."""
-        self.size += len(chunk)
-        if self.size <= BUFFERED_BODY_BYTES:
-            self.parts.append(chunk)
-        await self.exchange.send(chunk)
-
-    async def finish(self):
-        """End the answer."""
-        await self.exchange.finish()
-
-    def to_bytes(self) -> bytes | None:
-        """Return the answer for the book of operations; None if too large."""
-        if self.size > BUFFERED_BODY_BYTES:
-            return None
-        body = b"".join(self.parts)
-        return RecordedAnswer(self.status, self.headers, body).to_bytes()
-
-
 def _timeout_s(head: RequestHead, pool: Pool) -> float:
     text = head.header(DEADLINE_HEADER)
     if text is None:
--- a/packages/entry/plantainshed_entry/targets.py
+++ b/packages/entry/plantainshed_entry/targets.py
@@ -10,7 +10,7 @@
 import trio
 from attrs import define, field, frozen
 
-from plantainshed_coordination.budgets import CountPart
+from plantainshed_coordination.count_part import CountPart
 from plantainshed_coordination.holdings import Holdings
 from plantainshed_model.document import Drain, DrainKind, Pool, Target
 
--- a/packages/http/plantainshed_http/client.py
+++ b/packages/http/plantainshed_http/client.py
@@ -1,7 +1,7 @@
 """A client's connection to an HTTP server, used for one exchange after another."""
 
 import contextlib
-import socket
+import select
 from collections.abc import AsyncIterator
 
 import h11
@@ -33,6 +33,7 @@
         self.address = address
         self.h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self.touched = False
+        self.unsent = b""
 
     @classmethod
     async def open(cls, address: str, timeout_s: float) -> "ClientConnection":
@@ -46,11 +47,11 @@
         return cls(stream, address)
 
     async def send_head(self, method: str, target: str, headers: Headers):
-        """Begin a request."""
+        """Begin a request. Its head leaves with what follows."""
         if self.h11.our_state is h11.DONE:
             self.h11.start_next_cycle()
         self.touched = False
-        await self._send(h11.Request(method=method, target=target, headers=headers))
+        self._add(h11.Request(method=method, target=target, headers=headers))
 
     async def send_body(self, chunk: bytes):
         """Send a piece of the body."""
@@ -81,6 +82,11 @@
             else:
                 raise ConnectionBroken(f"{self.address} closed in the middle")
 
+    @property
+    def has_more_at_hand(self) -> bool:
+        """Whether more of the response has already arrived."""
+        return bool(self.h11.trailing_data[0])
+
     async def read_response(self) -> tuple[ResponseHead, bytes]:
         """Return a whole response."""
         head = await self.response_head()
@@ -120,11 +126,15 @@
         """Close at once; the server sees its work as cancelled."""
         await trio.aclose_forcefully(self.stream)
 
-    async def _send(self, event):
+    def _add(self, event):
         try:
-            data = self.h11.send(event)
+            self.unsent += self.h11.send(event) or b""
         except h11.LocalProtocolError as error:
             raise ConnectionBroken(f"{self.address}: {error}") from error
+
+    async def _send(self, event):
+        self._add(event)
+        data, self.unsent = self.unsent, b""
         if data:
             self.touched = True
             try:
@@ -149,20 +159,12 @@
 
 def is_readable(sock) -> bool:
     """Tell, without waiting, whether a socket has bytes, an end or an error."""
-    # trio's sockets have no call that does not wait, so a plain one is made
-    # from the same descriptor for a moment.
-    try:
-        plain = socket.fromfd(sock.fileno(), sock.family, sock.type)
-    except OSError:
+    descriptor = sock.fileno()
+    if descriptor < 0:
         return True
-    with contextlib.closing(plain):
-        try:
-            plain.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
-    return True
+    poll = select.poll()
+    poll.register(descriptor, select.POLLIN)
+    return bool(poll.poll(0))
 
 
 @contextlib.asynccontextmanager
--- a/packages/http/plantainshed_http/server.py
+++ b/packages/http/plantainshed_http/server.py
@@ -111,13 +111,17 @@
         length = (b"content-length", str(len(body)).encode())
         await self.start(status, [*headers, length])
         if body and self.request.method != "HEAD":
-            await self.send(body)
+            self._connection.add_body(body)
         await self.finish()
 
     async def start(self, status: int, headers: Headers):
-        """Send the head of an answer."""
+        """Begin an answer. Its head leaves with what follows, or by `flush`."""
         self.started = True
-        await self._connection.send_head(status, headers)
+        self._connection.begin_answer(status, headers)
+
+    async def flush(self):
+        """Send what has not left yet; for answers whose body comes later."""
+        await self._connection.flush()
 
     async def send(self, chunk: bytes):
         """Send a piece of the answer's body."""
@@ -147,6 +151,7 @@
         self.handler = handler
         self.stopping = stopping
         self.idle_timeout_s = idle_timeout_s
+        self.unsent = b""
         self.h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
         self.caller = _peer_address(stream)
 
@@ -251,13 +256,21 @@
             return
         scope.cancel()
 
-    async def send_head(self, status: int, headers: Headers):
+    def begin_answer(self, status: int, headers: Headers):
         if self.stopping.is_set or self.h11.their_state is not h11.DONE:
             headers = [*headers, (b"connection", b"close")]
-        await self.send_event(h11.Response(status_code=status, headers=headers))
+        response = h11.Response(status_code=status, headers=headers)
+        self.unsent += self.h11.send(response)
+
+    def add_body(self, chunk: bytes):
+        self.unsent += self.h11.send(h11.Data(data=chunk))
 
     async def send_event(self, event):
-        data = self.h11.send(event)
+        self.unsent += self.h11.send(event) or b""
+        await self.flush()
+
+    async def flush(self):
+        data, self.unsent = self.unsent, b""
         if data:
             await self.stream.send_all(data)
 
--- a/packages/measure/plantainshed_measure/fake_exchange.py
+++ b/packages/measure/plantainshed_measure/fake_exchange.py
@@ -48,6 +48,9 @@
         """Take a piece of an answer."""
         self.answer += chunk
 
+    async def flush(self):
+        """Nothing is held back here."""
+
     async def finish(self):
         """Take the end of an answer."""
 
--- a/packages/measure/plantainshed_measure/policies.py
+++ b/packages/measure/plantainshed_measure/policies.py
@@ -4,7 +4,10 @@
 
 from attrs import frozen
 
-from plantainshed_coordination.budgets import RATE_UNITS, RatePart
+from plantainshed_coordination.budgets import (
+    RATE_UNITS,
+)
+from plantainshed_coordination.rate_part import RatePart
 from plantainshed_entry.in_force import budget_specs
 from plantainshed_entry.targets import TargetState
 from plantainshed_model.document import Document
--- a/packages/measure/plantainshed_measure/slopes.py
+++ b/packages/measure/plantainshed_measure/slopes.py
@@ -12,15 +12,15 @@
 from plantainshed_coordination.budgets import (
     BudgetKind,
     BudgetSpec,
-    CountPart,
-    RatePart,
 )
+from plantainshed_coordination.count_part import CountPart
 from plantainshed_coordination.division import divide
 from plantainshed_coordination.identity import Identity
 from plantainshed_coordination.members import MemberTable
 from plantainshed_coordination.membership import Membership, SeedMember
 from plantainshed_coordination.network import PeerNetwork
 from plantainshed_coordination.peer_pb2 import Envelope, MemberRecord
+from plantainshed_coordination.rate_part import RatePart
 from plantainshed_coordination.versioned import Revision
 from plantainshed_entry.in_force import nothing_in_force, put_in_force
 from plantainshed_entry.targets import TargetState
--- a/packages/model/plantainshed_model/keys.py
+++ b/packages/model/plantainshed_model/keys.py
@@ -13,6 +13,8 @@
 from .document import Document, KeyDigest
 
 KEY_PREFIX = "psk"
+# Digits alone would be read as a number by shells, sheets and command lines.
+KEY_ID_LETTER = "k"
 KEY_ID_BYTES = 6
 SECRET_BYTES = 24
 
@@ -35,14 +37,15 @@
 
 def issue_key(workspace: str) -> IssuedKey:
     """Make a new key for a workspace."""
-    key_id = secrets.token_hex(KEY_ID_BYTES)
+    key_id = KEY_ID_LETTER + secrets.token_hex(KEY_ID_BYTES)
     text = f"{KEY_PREFIX}_{key_id}_{secrets.token_hex(SECRET_BYTES)}"
     return IssuedKey(text, KeyDigest(key_id, workspace, key_digest(text)))
 
 
 def is_key_id(text: str) -> bool:
     """Tell whether the text can be the public part of a key."""
-    return len(text) == 2 * KEY_ID_BYTES and set(text) <= set("0123456789abcdef")
+    digits = text.removeprefix(KEY_ID_LETTER)
+    return len(digits) == 2 * KEY_ID_BYTES and set(digits) <= set("0123456789abcdef")
 
 
 def key_digest(text: str) -> str:
--- a/packages/operator/plantainshed/cli/document_commands.py
+++ b/packages/operator/plantainshed/cli/document_commands.py
@@ -2,6 +2,8 @@
 
 from pathlib import Path
 
+from fire.decorators import SetParseFn
+
 from plantainshed_model.checks import require_valid
 from plantainshed_model.codec import from_text, to_text
 from plantainshed_model.queries import differences
@@ -29,17 +31,20 @@
             shown = self._session.run(current)
         print(to_text(shown.document), end="")
 
+    @SetParseFn(str, "file")
     def check(self, file: str):
         """Say whether a file is a valid document; name every fault."""
         require_valid(from_text(_read(file)))
         print(f"{file}: valid")
 
+    @SetParseFn(str, "file")
     def diff(self, file: str):
         """Show what applying a file would change."""
         document = from_text(_read(file))
         stored = self._session.run(current)
         self._print_differences(differences(stored.document, document))
 
+    @SetParseFn(str, "file", "reason", "change_id")
     def apply(self, file: str, reason: str, base: int = 0, change_id: str = ""):
         """Put a file's document in force, whole or not at all.
 
@@ -62,6 +67,7 @@
 
         print_revision(self._session.run(apply), self._session.json)
 
+    @SetParseFn(str, "reason")
     def back(self, version: int, reason: str):
         """Make an older version the newest again, as a new version."""
 
--- a/packages/operator/plantainshed/cli/fleet_commands.py
+++ b/packages/operator/plantainshed/cli/fleet_commands.py
@@ -1,5 +1,7 @@
 """``plantainshed key``, ``drain``, ``shift`` and ``status``."""
 
+from fire.decorators import SetParseFn
+
 from plantainshed_coordination.members import MemberState
 from plantainshed_model import commands
 from plantainshed_model.document import DrainKind, Shift, ShiftState
@@ -17,6 +19,7 @@
     def __init__(self, session: Session):
         self._session = session
 
+    @SetParseFn(str, "workspace", "reason")
     def issue(self, workspace: str, reason: str = "key issued"):
         """Issue a key for a workspace; it is shown this once."""
         key, revision = self._session.run(issue, workspace, reason)
@@ -31,6 +34,7 @@
         else:
             print(f"{key.text}\nKeep it now: it cannot be shown again.")
 
+    @SetParseFn(str, "key_id", "reason")
     def withdraw(self, key_id: str, reason: str = "key withdrawn"):
         """Withdraw a key: on the running fleet at once, then in the document."""
         done = self._session.run(withdraw, key_id, reason)
@@ -48,6 +52,7 @@
             print("NOT recorded: the store cannot be reached; repeat when it can")
         print("'plantainshed status' shows which VMs have confirmed it")
 
+    @SetParseFn(str, "workspace")
     def list(self, workspace: str = ""):
         """List keys by their public ids."""
         keys = self._session.run(current).document.keys
@@ -69,12 +74,14 @@
     def __init__(self, session: Session):
         self._session = session
 
+    @SetParseFn(str, "kind", "name", "reason")
     def start(self, kind: str, name: str, reason: str = "drain"):
         """Begin a drain; KIND is target, vm or failure_domain."""
         self._edit(
             lambda document: commands.start_drain(document, _kind(kind), name), reason
         )
 
+    @SetParseFn(str, "kind", "name", "reason")
     def end(self, kind: str, name: str, reason: str = "drain ended"):
         """Take a drain back."""
         self._edit(
@@ -97,6 +104,7 @@
     def __init__(self, session: Session):
         self._session = session
 
+    @SetParseFn(str, "name", "pool", "from_region", "to_region", "reason")
     def start(
         self,
         name: str,
@@ -110,18 +118,22 @@
         shift = Shift(name, pool, from_region, to_region, float(cap))
         self._edit(lambda document: commands.put_shift(document, shift), reason)
 
+    @SetParseFn(str, "name", "reason")
     def stop(self, name: str, reason: str = "shift stopped"):
         """Stop moving more; the cap stays in force."""
         self._set(name, ShiftState.STOPPED, reason)
 
+    @SetParseFn(str, "name", "reason")
     def resume(self, name: str, reason: str = "shift resumed"):
         """Go on with a shift."""
         self._set(name, ShiftState.RUNNING, reason)
 
+    @SetParseFn(str, "name", "reason")
     def reverse(self, name: str, reason: str = "shift reversed"):
         """Move in the other direction, under the same cap."""
         self._set(name, ShiftState.REVERSED, reason)
 
+    @SetParseFn(str, "name", "reason")
     def remove(self, name: str, reason: str = "shift removed"):
         """Take a shift off the list, and its cap with it."""
         self._edit(lambda document: commands.remove_shift(document, name), reason)
--- a/tests/coordination/test_budgets.py
+++ b/tests/coordination/test_budgets.py
@@ -10,9 +10,9 @@
     RATE_UNITS,
     BudgetKind,
     BudgetSpec,
-    CountPart,
-    RatePart,
 )
+from plantainshed_coordination.count_part import CountPart
+from plantainshed_coordination.rate_part import RatePart
 from tests.support import WORKSPACE, on_mock_clock
 
 
--- a/tests/operator/test_changes.py
+++ b/tests/operator/test_changes.py
@@ -131,5 +131,5 @@
         with self.assertRaises(BadUsage):
             await withdraw(context, "nope", "typing error")
         with contextlib.suppress(UnknownName):
-            await withdraw(context, "0" * 12, "unknown")
+            await withdraw(context, "k" + "0" * 12, "unknown")
             self.fail("an unknown key was withdrawn")
--- a/tests/operator/test_cli.py
+++ b/tests/operator/test_cli.py
@@ -109,6 +109,20 @@
         self.assertIn("no VM could be told", said)
         self.assertIn("withdrawn", self.run_command("key", "list"))
 
+    def test_names_made_of_digits_stay_names(self):
+        """A key cannot be withdrawn: "object of type 'int' has no len()".
+
+        Its id had happened to consist of digits, and the command line made a
+        number of it.
+        """
+        self.run_command("document", "apply", DOCUMENT, "--reason=2026")
+        start = ("shift", "start", "007", "calendario", "veneto", "lombardia", "20")
+        self.run_command(*start)
+        self.run_command("shift", "stop", "007")
+        self.assertIn("007", self.run_command("shift", "list"))
+        with self.assertRaises(UnknownName):
+            self.run_command("key", "withdraw", "012345678901")
+
     def test_mistakes_are_named(self):
         with self.assertRaises(BadUsage):
             self.run_command("document", "check", str(self.folder / "none.json"))
--- a/tests/operator/test_console.py
+++ b/tests/operator/test_console.py
@@ -159,7 +159,7 @@
             await browser.log_in()
             await browser.get("/keys")
             await browser.send("/keys/issue", workspace="comune")
-            key = re.search(r"psk_[0-9a-f_]+", browser.page).group(0)
+            key = re.search(r"psk_k[0-9a-f_]+", browser.page).group(0)
             await browser.get("/keys")
             self.assertNotIn(key, browser.page)
             self.assertIn(key.split("_")[1], browser.page)
