--- a/packages/coordination/plantainshed_coordination/control.py
+++ b/packages/coordination/plantainshed_coordination/control.py
@@ -13,7 +13,7 @@
 import grpc
 import trio
 
-from .errors import PeerRefused, PeerTimeout
+from .errors import PeerError, PeerRefused, PeerTimeout
 from .peer_pb2 import ControlReply, ControlRequest, FetchReply, FetchRequest
 from .peer_pb2_grpc import (
     ControlServicer,
@@ -63,7 +63,10 @@
     """
     server = grpc.server(ThreadPoolExecutor(THREADS), options=OPTIONS)
     add_ControlServicer_to_server(_Servicer(value, command), server)
-    port = server.add_insecure_port(address)
+    try:
+        port = server.add_insecure_port(address)
+    except RuntimeError as error:
+        raise PeerError(f"the control port {address} cannot be opened") from error
     server.start()
     try:
         yield port
--- a/packages/entry/plantainshed_entry/cli.py
+++ b/packages/entry/plantainshed_entry/cli.py
@@ -5,6 +5,8 @@
 import fire
 import trio
 
+from plantainshed_coordination.errors import PeerError
+
 from .daemon import run_until_signalled
 from .errors import SettingsError
 from .settings import load_settings
@@ -23,15 +25,18 @@
     """
     try:
         loaded = load_settings(settings)
+        if check:
+            print(f"{settings}: ok; would start {loaded.vm} on {loaded.listen}")
+            return
+        trio.run(run_until_signalled, loaded)
     except SettingsError as error:
         print(f"plantainshed-entry: {settings} cannot be used:", file=sys.stderr)
         for fault in error.faults:
             print(f"  {fault}", file=sys.stderr)
         sys.exit(ExitCode.BAD_SETTINGS)
-    if check:
-        print(f"{settings}: ok; would start {loaded.vm} on {loaded.listen}")
-        return
-    trio.run(run_until_signalled, loaded)
+    except PeerError as error:
+        print(f"plantainshed-entry: {error}", file=sys.stderr)
+        sys.exit(ExitCode.BAD_SETTINGS)
 
 
 def main():
--- a/packages/entry/plantainshed_entry/daemon.py
+++ b/packages/entry/plantainshed_entry/daemon.py
@@ -10,12 +10,14 @@
 from plantainshed_coordination.addresses import split_address
 from plantainshed_coordination.control import ControlClient, serve_control
 from plantainshed_coordination.identity import Identity
+from plantainshed_coordination.nurseries import open_plain_nursery
 from plantainshed_coordination.transport import DatagramTransport
 from plantainshed_http.platform_client import HttpPlatform
 from plantainshed_http.server import Stopping, serve_http
 
 from .commands import Commands
 from .context import Context
+from .errors import SettingsError
 from .handlers import Handlers
 from .http_probe import probe_over_http
 from .logs import open_log
@@ -76,7 +78,8 @@
 
 @contextlib.asynccontextmanager
 async def _open_context(settings: Settings):
-    transport = await DatagramTransport.open(settings.peer, settings.fleet_secret)
+    with _naming_option("peer", settings.peer):
+        transport = await DatagramTransport.open(settings.peer, settings.fleet_secret)
     bulk = ControlClient()
     try:
         yield Context(
@@ -97,13 +100,23 @@
 
 async def _listen(address: str) -> list[trio.SocketListener]:
     host, port = split_address(address)
-    return await trio.open_tcp_listeners(port, host=host, backlog=BACKLOG)
+    with _naming_option("listen", address):
+        return await trio.open_tcp_listeners(port, host=host, backlog=BACKLOG)
+
+
+@contextlib.contextmanager
+def _naming_option(option: str, address: str):
+    """Turn a socket that cannot be opened into a fault of the settings."""
+    try:
+        yield
+    except OSError as error:
+        raise SettingsError([f"[vm] {option} = {address!r}: {error}"]) from error
 
 
 async def run_until_signalled(settings: Settings):
     """Run a daemon until SIGTERM or SIGINT; a second one ends it at once."""
     stop, ready = trio.Event(), trio.Event()
-    async with trio.open_nursery() as nursery:
+    async with open_plain_nursery() as nursery:
         nursery.start_soon(_watch_signals, stop, nursery.cancel_scope)
         await run_daemon(settings, stop, ready)
         nursery.cancel_scope.cancel()
