--- a/packages/coordination/plantainshed_coordination/membership.py
+++ b/packages/coordination/plantainshed_coordination/membership.py
@@ -238,10 +238,6 @@
             if vm not in self.leaving_vms():
                 self.leaving_until[vm] = until
 
-    def alone_for(self) -> float:
-        """Return how long, in seconds, nobody at all has been heard."""
-        return max(0.0, trio.current_time() - self.contact_at)
-
     # Heartbeats inside the failure domain.
 
     def _start_tasks(self, nursery):
--- a/packages/coordination/plantainshed_coordination/versioned.py
+++ b/packages/coordination/plantainshed_coordination/versioned.py
@@ -8,7 +8,6 @@
 """
 
 import json
-from typing import Protocol
 
 import trio
 from attrs import asdict, field, frozen
@@ -122,13 +121,6 @@
     changed_at: str
 
 
-class SegmentSource(Protocol):
-    """Where segments can be had: the store, or a peer."""
-
-    async def segment(self, digest: str) -> bytes:
-        """Return the segment's bytes, or raise `SegmentMissing`."""
-
-
 class DocumentStore:
     """Reads and changes the document in the platform's store."""
 
--- a/packages/entry/plantainshed_entry/in_force.py
+++ b/packages/entry/plantainshed_entry/in_force.py
@@ -8,7 +8,7 @@
 from plantainshed_model.blocks import BlockTable
 from plantainshed_model.checks import require_valid
 from plantainshed_model.codec import BLOCKS_PREFIX, from_segments, read_blocks
-from plantainshed_model.document import Document, Pool, Target, Workspace
+from plantainshed_model.document import Document, Pool, Workspace
 from plantainshed_model.errors import ModelError
 from plantainshed_model.keys import KeyRing
 from plantainshed_model.queries import pool_for_path, region_of
@@ -49,10 +49,6 @@
         """Return the region of a failure domain, empty if unknown."""
         return self.region_by_domain.get(failure_domain, "")
 
-    def targets_of(self, pool: str) -> list[Target]:
-        """Return the targets of a pool."""
-        return [target for target in self.document.targets if target.pool == pool]
-
 
 def nothing_in_force() -> InForce:
     """Return the state before any document was received."""
--- a/packages/model/plantainshed_model/queries.py
+++ b/packages/model/plantainshed_model/queries.py
@@ -5,7 +5,7 @@
 from attrs import frozen
 
 from .codec import to_fields
-from .document import Document, Drain, DrainKind, Pool
+from .document import Document, Pool
 
 ITEM_NAME_FIELDS = ("name", "key_id", "cidr")
 
@@ -46,11 +46,6 @@
     return ""
 
 
-def is_drained(document: Document, kind: DrainKind, name: str) -> bool:
-    """Tell whether something is being drained."""
-    return Drain(kind, name) in document.drains
-
-
 def differences(before: Document, after: Document) -> list[Difference]:
     """Return what differs, item by item, in the order of the document."""
     fields_before = to_fields(before)
--- a/packages/operator/plantainshed/demo/fleet.py
+++ b/packages/operator/plantainshed/demo/fleet.py
@@ -19,7 +19,6 @@
 from .deployment import Deployment
 
 READY_POLL_S = 0.05
-START_TIMEOUT_S = 30.0
 
 
 @define
