--- a/packages/entry/plantainshed_entry/attempts.py
+++ b/packages/entry/plantainshed_entry/attempts.py
@@ -55,6 +55,16 @@
 
     async def run(self, call: Call):
         """Have a request answered by a target, or raise `Refusal`."""
+        try:
+            await self._run(call)
+        except Refusal as refusal:
+            # The last attempt may not have run, or never have begun, and still
+            # an earlier one may have: "not run" would be false.
+            if call.may_have_run:
+                refusal.outcome = Outcome.UNKNOWN
+            raise
+
+    async def _run(self, call: Call):
         self.budget.earn()
         excluded: set[str] = set()
         while True:
@@ -98,6 +108,7 @@
     def _learn_from(
         self, call: Call, state: TargetState, failure: AttemptFailed, marked: bool
     ):
+        call.may_have_run |= failure.outcome is Outcome.UNKNOWN
         if failure.crashed:
             self.poison.note_crash(call.fingerprint, state.target.name, alone=marked)
         if failure.blames_target:
--- a/packages/entry/plantainshed_entry/call.py
+++ b/packages/entry/plantainshed_entry/call.py
@@ -31,6 +31,8 @@
         The whole body when it is small enough to be sent again.
     exchange : Exchange or None
         The caller's connection.
+    may_have_run : bool
+        Whether an earlier attempt ended without saying whether it ran.
     moved_by : str
         Shift under whose cap it was counted.
     """
@@ -48,6 +50,7 @@
     exchange: object | None = None
     fingerprint: str = ""
     attempts: int = 0
+    may_have_run: bool = False
     moved_by: str = ""
     began_at: float = field(factory=trio.current_time)
     cancel_scope: trio.CancelScope | None = None
--- a/tests/entry/test_node.py
+++ b/tests/entry/test_node.py
@@ -147,6 +147,24 @@
                 self.assertEqual(response.status, 200)
 
 
+class TestAttempts(unittest.TestCase):
+    @on_mock_clock
+    async def test_not_run_speaks_of_all_attempts(self):
+        """A caller is told "not run" of a request that a target has run.
+
+        The first attempt dies with its target, a second is allowed as the
+        method is idempotent, and no target accepts it: the last word was
+        taken from the attempt that had not run.
+        """
+        async with running_rig() as rig:
+            for target in rig.targets.values():
+                target.is_down = target.name != "prenota-01"
+            await trio.sleep(4)
+            response = await call(rig, "mil-a-1", "/prenota/poison")
+            self.assertEqual(rig.targets["prenota-01"].runs.total(), 1)
+            self.assertEqual(response.header(b"plantainshed-outcome"), "unknown")
+
+
 class TestTargets(unittest.TestCase):
     @on_mock_clock
     async def test_drained_target_gets_no_new_request(self):
