--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,8 @@
 export PYTHONHASHSEED := 0
 BIN := .venv/bin
 DEPLOYMENT ?= cerimonia
-PACKAGES := coordination model http standins entry operator measure
+PACKAGES := packages/coordination packages/model packages/http packages/standins \
+	packages/entry packages/operator packages/measure packages/gateway platform
 
 .PHONY: run test lint format bench measure capacity
 
@@ -22,10 +23,10 @@
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
 
-.venv/installed: requirements.txt $(PACKAGES:%=packages/%/pyproject.toml)
+.venv/installed: requirements.txt $(PACKAGES:%=%/pyproject.toml)
 	test -x $(BIN)/python || $(PYTHON) -m venv .venv
 	$(BIN)/python -m pip install --quiet --disable-pip-version-check -r requirements.txt
-	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-build-isolation --no-deps $(PACKAGES:%=-e packages/%)
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-build-isolation --no-deps $(PACKAGES:%=-e ./%)
 	touch $@
 
 measure: .venv/installed
--- /dev/null
+++ b/packages/gateway/plantainshed_gateway/admission.py
@@ -0,0 +1,105 @@
+"""Whose request it is and where it goes, before anything is sent."""
+
+from http import HTTPStatus
+
+from plantainshed_http.messages import RequestHead
+
+from .call import Call
+from .errors import BadRequest, Refusal
+from .model import Configuration, Route, Workspace
+from .ports import CallerRequest, Wire
+from .quota import Quotas
+from .reasons import Reason
+from .splitting import Splitter
+
+# A VM that knows no configuration yet asks again this soon.
+NOT_CONFIGURED_RETRY_S = 0.5
+
+
+class Admission:
+    """Finds a request's route, workspace and pool, and takes its quota.
+
+    Attributes
+    ----------
+    configuration : Configuration or None
+        In force here; None before the first is known.
+    """
+
+    def __init__(self, wire: Wire, quotas: Quotas):
+        self.wire = wire
+        self.quotas = quotas
+        self.splitter = Splitter()
+        self.configuration: Configuration | None = None
+
+    def admit(self, head: RequestHead, body: bytes, began_at: float) -> Call:
+        """Return the request as a call, or raise `Refusal`."""
+        configuration = self._known_configuration()
+        request = self._read(head)
+        route = configuration.route_for(request.host, request.path)
+        if route is None:
+            raise Refusal(
+                HTTPStatus.NOT_FOUND,
+                Reason.NO_ROUTE,
+                f"no route of {request.host} serves {request.path}",
+            )
+        workspace = _workspace_of(request, route, configuration)
+        object_key = request.affinity or request.request_id
+        wait_s = route.timeout_s
+        if request.deadline_s is not None:
+            wait_s = min(wait_s, request.deadline_s)
+        call = Call(
+            head=head,
+            request=request,
+            route=route,
+            workspace=workspace,
+            body=body,
+            answer_by=began_at + wait_s,
+            pool=self.splitter.choose(route, object_key),
+            began_at=began_at,
+        )
+        self._take_quota(call)
+        return call
+
+    def _known_configuration(self) -> Configuration:
+        if self.configuration is None:
+            # A 404 or 401 would be final for the caller; soon it can be served.
+            raise Refusal(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                Reason.NOT_CONFIGURED,
+                "this VM has no configuration yet",
+                NOT_CONFIGURED_RETRY_S,
+            )
+        return self.configuration
+
+    def _read(self, head: RequestHead) -> CallerRequest:
+        try:
+            return self.wire.read_request(head)
+        except BadRequest as error:
+            raise Refusal(
+                HTTPStatus.BAD_REQUEST, Reason.BAD_REQUEST, str(error)
+            ) from error
+
+    def _take_quota(self, call: Call):
+        if call.workspace is None:
+            return
+        wait_s = self.quotas.admit(call.workspace)
+        if wait_s is not None:
+            raise Refusal(
+                HTTPStatus.TOO_MANY_REQUESTS,
+                Reason.OVER_QUOTA,
+                f"workspace {call.workspace.name} is over its rate",
+                wait_s,
+            )
+
+
+def _workspace_of(
+    request: CallerRequest, route: Route, configuration: Configuration
+) -> Workspace | None:
+    if route.is_public or not configuration.requires_keys:
+        return None
+    workspace = configuration.workspace_by_key.get(request.key or "")
+    if workspace is None:
+        raise Refusal(
+            HTTPStatus.UNAUTHORIZED, Reason.UNKNOWN_KEY, "the key is not known"
+        )
+    return workspace
--- /dev/null
+++ b/packages/gateway/plantainshed_gateway/call.py
@@ -0,0 +1,72 @@
+"""A caller's request on its way through the gateway."""
+
+import trio
+from attrs import define, field
+
+from plantainshed_http.messages import RequestHead
+
+from .model import Route, Workspace
+from .ports import CallerRequest
+
+
+@define
+class Call:
+    """One request that has a route and, unless it is public, a workspace.
+
+    Parameters
+    ----------
+    head : RequestHead
+    request : CallerRequest
+    route : Route
+    workspace : Workspace or None
+    body : bytes
+    answer_by : float
+        When the caller, or the route's timeout, gives up.
+    pool : str
+        The one of the route's pools that this request goes to.
+    began_at : float
+
+    Attributes
+    ----------
+    attempts : int
+        Targets that it was sent to.
+    may_have_run : bool
+        Whether some attempt ended without saying that it did not run.
+    tried : list of str
+        Instances that it was meant for, for the log.
+    """
+
+    head: RequestHead
+    request: CallerRequest
+    route: Route
+    workspace: Workspace | None
+    body: bytes
+    answer_by: float
+    pool: str
+    began_at: float
+    attempts: int = 0
+    may_have_run: bool = False
+    tried: list[str] = field(factory=list)
+
+    @property
+    def seconds_left(self) -> float:
+        """Time until the caller or the route gives up."""
+        return self.answer_by - trio.current_time()
+
+    @property
+    def home_regions(self) -> frozenset[str]:
+        """The only regions that may serve it; empty for any.
+
+        Where route and workspace both name regions, both bind. Regions that
+        have none in common leave a set that no region is in.
+        """
+        of_route = self.route.home_regions
+        of_workspace = self.workspace.home_regions if self.workspace else frozenset()
+        if of_route and of_workspace:
+            return (of_route & of_workspace) or frozenset({""})
+        return of_route or of_workspace
+
+    @property
+    def workspace_name(self) -> str | None:
+        """Name of the workspace, None for a public request without a key."""
+        return self.workspace.name if self.workspace else None
--- /dev/null
+++ b/packages/gateway/plantainshed_gateway/daemon.py
@@ -0,0 +1,168 @@
+"""The gateway on real sockets: start, stop, reload."""
+
+import contextlib
+import gc
+import signal
+import time
+import traceback
+from collections.abc import Callable
+from pathlib import Path
+
+import trio
+
+from plantainshed_http.errors import CallerLeft, HttpError
+from plantainshed_http.server import Exchange, Stopping, serve_http
+
+from .context import Context
+from .errors import SettingsError
+from .gateway import Gateway
+from .logs import DecisionLog
+from .peers import StateHandler
+from .ports import Surroundings
+from .settings import Settings, load_settings
+
+BACKLOG = 1024
+# Part of the time to stop in which new connections are still taken: callers
+# keep an answered look-up, and some keep it for three times as long.
+ACCEPT_PART = 0.5
+# Part of it after which what still runs is broken off.
+LAST_PART = 0.93
+WATCH_SETTINGS_S = 1.0
+METRICS_PATH = "/metrics"
+
+MakeSurroundings = Callable[[Settings], Surroundings]
+
+
+async def run_daemon(settings_path: str, make_surroundings: MakeSurroundings):
+    """Run a gateway until SIGTERM, then stop without cutting a request."""
+    settings = load_settings(settings_path)
+    log = DecisionLog(settings.vm, settings.failure_domain)
+    with log.writing():
+        # Wall clock, but only as an identity: it is compared with nothing but
+        # earlier starts of this same VM.
+        incarnation = time.time_ns() // 1_000_000
+        context = Context(settings, make_surroundings(settings), log, incarnation)
+        log.event("start", incarnation=incarnation, settings=settings_path)
+        await _Daemon(Gateway(context), settings_path).run()
+        log.event("stop", dropped_lines=log.dropped)
+
+
+class _Daemon:
+    def __init__(self, gateway: Gateway, settings_path: str):
+        self.gateway = gateway
+        self.settings = gateway.context.settings
+        self.settings_path = settings_path
+        self.log = gateway.log
+        self.stopping = Stopping()
+        self.closed = trio.Event()
+        self.settings_text = _text_of(settings_path)
+
+    async def run(self):
+        gateway, listen = self.gateway, self.settings.listen
+        state = StateHandler(gateway.replicas)
+        async with trio.open_nursery() as nursery:
+            await self._serve(nursery, listen.ready, gateway.answer_readiness)
+            await self._serve(nursery, listen.lookup, gateway.answer_lookup)
+            await self._serve(nursery, listen.control, state.handle)
+            await self._serve(nursery, listen.metrics, self._answer_metrics)
+            nursery.start_soon(self._serve_callers, listen.callers)
+            nursery.start_soon(gateway.run)
+            nursery.start_soon(self._watch_settings)
+            # What was made at the start lives on; the collector need not look
+            # at it again, which takes 20 ms at a time.
+            gc.collect()
+            gc.freeze()
+            await self._until_told_to_stop()
+            await self._stop()
+            nursery.cancel_scope.cancel()
+
+    async def _serve(self, nursery, address: str, handler):
+        if address:
+            listeners = await _listen(address)
+            nursery.start_soon(serve_http, handler, listeners, Stopping())
+
+    async def _serve_callers(self, address: str):
+        listeners = await _listen(address)
+        await serve_http(
+            self._answer_caller, listeners, self.stopping, self.gateway.limits
+        )
+        self.closed.set()
+
+    async def _answer_caller(self, exchange: Exchange):
+        try:
+            await self.gateway.serving.serve(exchange)
+        except (HttpError, trio.BrokenResourceError, trio.ClosedResourceError):
+            raise
+        except Exception:
+            # A fault of this program must cost one request, not the process
+            # and all that it is serving.
+            self.log.event("internal error", traceback=traceback.format_exc())
+            if exchange.started:
+                raise CallerLeft("the answer cannot be completed") from None
+            await exchange.reply(502, [], b"internal error\n")
+
+    async def _answer_metrics(self, exchange: Exchange):
+        if exchange.request.target != METRICS_PATH:
+            await exchange.reply(404, [], b"not found\n")
+            return
+        metrics = self.gateway.context.metrics
+        metrics.state.set({"what": "in_flight"}, self.gateway.serving.in_flight)
+        metrics.state.set({"what": "log_lines_dropped"}, self.log.dropped)
+        metrics.state.set({"what": "targets"}, len(self.gateway.registry.states))
+        headers = [(b"content-type", b"text/plain; version=0.0.4")]
+        await exchange.reply(200, headers, metrics.render())
+
+    # Signals.
+
+    async def _until_told_to_stop(self):
+        signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+        with trio.open_signal_receiver(*signals) as received:
+            async for number in received:
+                if number != signal.SIGHUP:
+                    self.log.event("stop requested", signal=number)
+                    return
+                self._reload("signal")
+
+    async def _stop(self):
+        """Steer callers away, then end what runs, within the time given."""
+        within_s = self.settings.bounds.stop_within_s
+        began_at = trio.current_time()
+        self.stopping.is_announced = True
+        await self.gateway.announce_leaving()
+        await trio.sleep(ACCEPT_PART * within_s)
+        self.stopping.set()
+        with trio.move_on_at(began_at + LAST_PART * within_s) as scope:
+            await self.closed.wait()
+        if scope.cancelled_caught:
+            self.log.event("stopped late", in_flight=self.gateway.serving.in_flight)
+
+    # Settings.
+
+    async def _watch_settings(self):
+        """Notice a settings file that changed without a signal."""
+        while True:
+            await trio.sleep(WATCH_SETTINGS_S)
+            if _text_of(self.settings_path) != self.settings_text:
+                self._reload("file changed")
+
+    def _reload(self, cause: str):
+        self.settings_text = _text_of(self.settings_path)
+        try:
+            settings = load_settings(self.settings_path)
+        except SettingsError as error:
+            self.log.event("reload failed", cause=cause, problem=str(error))
+            return
+        self.gateway.take_settings(settings)
+        self.log.event("reload", cause=cause, changed=settings != self.settings)
+        self.settings = settings
+
+
+async def _listen(address: str) -> list[trio.SocketListener]:
+    host, _, port = address.rpartition(":")
+    return await trio.open_tcp_listeners(int(port), host=host, backlog=BACKLOG)
+
+
+def _text_of(path: str) -> str | None:
+    with contextlib.suppress(OSError):
+        return Path(path).read_text(encoding="utf-8")
+    return None
--- /dev/null
+++ b/packages/gateway/plantainshed_gateway/gateway.py
@@ -0,0 +1,344 @@
+"""One VM's part of the system: all parts, joined, without listening sockets."""
+
+import contextlib
+
+import trio
+
+from plantainshed_http.server import ConnectionLimits, Exchange
+
+from .admission import Admission
+from .cold import ColdTargets
+from .connections import TargetConnections
+from .context import Context
+from .errors import BadItem, BadRequest, ItemExists, StoreUnavailable
+from .forwarding import Forwarder
+from .lookup import LookupTable
+from .members import Heartbeat, Members, VmState
+from .peers import Peers, fetch_state
+from .placement import Placement
+from .ports import Collection
+from .quota import Quotas
+from .registry import Registry
+from .replication import Follower
+from .retry_budget import RetryBudgets
+from .serving import Serving
+from .settings import Settings
+
+FOLLOWED = (Collection.CONFIGURATION, Collection.TARGETS, Collection.EVACUATIONS)
+UPKEEP_S = 0.25
+# Pause between looks at the list of VMs in the store. Heartbeats tell sooner;
+# this finds VMs that a partition kept apart from the start.
+LIST_VMS_S = 30.0
+REGISTER_RETRY_S = 1.0
+# How long after the store came back entries may still be on their way back.
+LAPSE_S = 2.2
+
+
+class Gateway:
+    """All parts of one VM.
+
+    Attributes
+    ----------
+    state : VmState
+    limits : ConnectionLimits
+        For callers' connections, as the configuration in force says.
+    """
+
+    def __init__(self, context: Context):
+        settings = context.settings
+        surroundings = context.surroundings
+        self.context = context
+        self.log = context.log
+        self.state = VmState.STARTING
+        self.limits = ConnectionLimits()
+        self.heartbeat_number = 0
+        self.members = Members(self._own_heartbeat({}, {}))
+        self.registry = Registry(settings.region_of)
+        self.quotas = Quotas(self.members)
+        self.retries = RetryBudgets(settings.bounds)
+        self.cold = ColdTargets(settings.bounds, settings.vm)
+        self.connections = TargetConnections()
+        self.admission = Admission(surroundings.wire, self.quotas)
+        self.placement = Placement(self.registry, self.cold)
+        self.forwarder = Forwarder(surroundings.wire, self.connections, context.metrics)
+        self.serving = Serving(
+            context,
+            self.admission,
+            self.placement,
+            self.forwarder,
+            self.retries,
+            self.members,
+        )
+        self.lookup = LookupTable(self.members, settings.bounds.longest_ttl_s)
+        self.followers = {
+            collection: Follower(
+                surroundings.store, collection, self._on_change, context.log
+            )
+            for collection in FOLLOWED
+        }
+        self.peers = Peers(
+            self.members,
+            settings.ip,
+            settings.datagram_port,
+            self._make_heartbeat,
+            self._on_heartbeat,
+            context.log,
+        )
+        self.peers.seeds = _ips(settings.seeds)
+        self._nursery: trio.Nursery | None = None
+
+    def take_settings(self, settings: Settings):
+        """Take over what may change while the daemon runs: bounds and seeds."""
+        self.context.settings = settings
+        self.retries.bounds = settings.bounds
+        self.cold.bounds = settings.bounds
+        self.peers.seeds = _ips(settings.seeds)
+
+    @property
+    def replicas(self):
+        """This VM's copies, by collection."""
+        return {name: follower.replica for name, follower in self.followers.items()}
+
+    async def run(self):
+        """Run all parts until cancelled."""
+        async with self.peers.open(), trio.open_nursery() as nursery:
+            self._nursery = nursery
+            for follower in self.followers.values():
+                nursery.start_soon(follower.run)
+            nursery.start_soon(self.peers.send_heartbeats)
+            nursery.start_soon(self.peers.receive_heartbeats)
+            nursery.start_soon(self._know_vms)
+            nursery.start_soon(self._upkeep)
+
+    # State that came from the store or from peers.
+
+    def _on_change(self, collection: Collection):
+        if collection is Collection.CONFIGURATION:
+            self._take_configuration()
+        elif collection is Collection.TARGETS:
+            self._take_targets()
+        else:
+            self._take_evacuations()
+        self._become_ready()
+
+    def _take_configuration(self):
+        decoder = self.context.surroundings.decoder
+        for item in self.replicas[Collection.CONFIGURATION].items.values():
+            try:
+                configuration = decoder.configuration(item)
+            except BadItem as error:
+                self._log_bad(Collection.CONFIGURATION, error)
+                continue
+            if configuration is None:
+                continue
+            self._put_in_force(configuration, item.revision)
+
+    def _put_in_force(self, configuration, revision: int):
+        known = self.admission.configuration
+        if known is not None and configuration.version <= known.version:
+            return
+        self.admission.configuration = configuration
+        routes = [r for by in configuration.routes.values() for r in by.values()]
+        self.admission.splitter.keep({(r.name, r.pools) for r in routes})
+        self.registry.take_configuration(configuration)
+        self.limits.head_timeout_s = configuration.limits.head_timeout_s
+        self.limits.idle_timeout_s = configuration.limits.idle_timeout_s
+        self.log.event(
+            "configuration in force",
+            version=configuration.version,
+            version_before=known.version if known else None,
+            revision=revision,
+            routes=len(routes),
+        )
+
+    def _take_targets(self):
+        decoder = self.context.surroundings.decoder
+        follower = self.followers[Collection.TARGETS]
+        entries = []
+        for item in follower.replica.items.values():
+            try:
+                entries.append(decoder.target(item))
+            except BadItem as error:
+                self._log_bad(Collection.TARGETS, error)
+        before = {name: s.entry for name, s in self.registry.states.items()}
+        since_back = trio.current_time() - follower.regained_at
+        self.registry.take_entries(entries, may_have_lapsed=since_back < LAPSE_S)
+        self._log_targets(before, follower.replica.revision)
+
+    def _log_targets(self, before: dict, revision: int):
+        after = self.registry.states
+        joined = [name for name in after if name not in before]
+        gone = [name for name in before if name not in after]
+        leaving = [
+            name
+            for name, entry in before.items()
+            if name in after and after[name].entry.is_leaving and not entry.is_leaving
+        ]
+        if joined or gone or leaving:
+            self.log.event(
+                "targets changed",
+                revision=revision,
+                joined=joined if before else len(joined),
+                gone=gone,
+                leaving=leaving,
+                known=len(after),
+            )
+
+    def _take_evacuations(self):
+        decoder = self.context.surroundings.decoder
+        domains = set()
+        for item in self.replicas[Collection.EVACUATIONS].items.values():
+            try:
+                domains.add(decoder.evacuated_domain(item))
+            except BadItem as error:
+                self._log_bad(Collection.EVACUATIONS, error)
+        if domains != self.registry.evacuated:
+            self.log.event(
+                "evacuations changed",
+                failure_domains=sorted(domains),
+                before=sorted(self.registry.evacuated),
+                revision=self.replicas[Collection.EVACUATIONS].revision,
+            )
+        self.registry.take_evacuated(frozenset(domains))
+
+    def _log_bad(self, collection: Collection, error: BadItem):
+        self.log.event(
+            "object not usable",
+            collection=collection,
+            name=error.name,
+            field=error.field,
+            problem=error.problem,
+        )
+
+    def _become_ready(self):
+        if self.state is not VmState.STARTING:
+            return
+        if self.admission.configuration is None:
+            return
+        if all(replica.is_known for replica in self.replicas.values()):
+            self.state = VmState.READY
+            self.log.event(
+                "ready",
+                configuration=self.admission.configuration.version,
+                targets=len(self.registry.states),
+            )
+
+    # Other VMs.
+
+    def _own_heartbeat(self, newest: dict, use: dict) -> Heartbeat:
+        settings = self.context.settings
+        self.heartbeat_number += 1
+        return Heartbeat(
+            vm=settings.vm,
+            failure_domain=settings.failure_domain,
+            region=settings.region,
+            incarnation=self.context.incarnation,
+            number=self.heartbeat_number,
+            state=self.state,
+            callers=settings.listen.callers,
+            control=settings.listen.control,
+            newest=newest,
+            use=use,
+        )
+
+    def _make_heartbeat(self) -> Heartbeat:
+        newest = {
+            name.value: replica.changed_at_revision
+            for name, replica in self.replicas.items()
+        }
+        return self._own_heartbeat(newest, self.quotas.use())
+
+    def _on_heartbeat(self, heartbeat: Heartbeat):
+        for name, newest in heartbeat.newest.items():
+            follower = self.followers.get(name)
+            if follower is not None and newest > follower.replica.revision:
+                self._nursery.start_soon(
+                    self._catch_up, follower, heartbeat.control, newest
+                )
+
+    async def _catch_up(self, follower: Follower, address: str, newest: int):
+        try:
+            await follower.catch_up(address, newest, fetch_state)
+        except StoreUnavailable as error:
+            self.log.event(
+                "peer gave no state",
+                collection=follower.collection,
+                peer=address,
+                problem=str(error),
+            )
+
+    async def _know_vms(self):
+        """Register this VM in the store, and learn which others there are."""
+        is_registered = False
+        while True:
+            pause_s = LIST_VMS_S
+            try:
+                if not is_registered:
+                    await self._register()
+                    is_registered = True
+                snapshot = await self.context.surroundings.store.list(Collection.VMS)
+                for item in snapshot.items:
+                    if isinstance(item.value, dict) and "ip" in item.value:
+                        self.members.note_listed(item.name, str(item.value["ip"]))
+            except StoreUnavailable as error:
+                self.log.event("list of VMs not read", problem=str(error))
+                pause_s = REGISTER_RETRY_S
+            await trio.sleep(pause_s)
+
+    async def _register(self):
+        settings = self.context.settings
+        store = self.context.surroundings.store
+        value = {"ip": settings.ip, "failure_domain": settings.failure_domain}
+        try:
+            await store.create(Collection.VMS, settings.vm, value)
+        except ItemExists as error:
+            # An earlier run of this VM; a machine that replaces it under its
+            # name can have another address.
+            if error.item is not None and error.item.value != value:
+                with contextlib.suppress(ItemExists):
+                    await store.replace(Collection.VMS, error.item, value)
+        self.log.event("registered", ip=settings.ip)
+
+    async def _upkeep(self):
+        while True:
+            await trio.sleep(UPKEEP_S)
+            self.quotas.divide()
+            self.registry.drop_lapsed()
+            self.connections.close_idle(set(self.registry.states))
+            for vm in self.members.forget_gone():
+                self.log.event("vm forgotten", peer=vm)
+
+    # Questions from outside.
+
+    async def answer_lookup(self, exchange: Exchange):
+        """Answer which VMs a caller is to use."""
+        wire = self.context.surroundings.wire
+        try:
+            lookup = wire.read_lookup(exchange.request)
+        except BadRequest as error:
+            await exchange.reply(400, [], str(error).encode())
+            return
+        addresses = self.lookup.addresses(lookup)
+        self.context.metrics.lookups.inc({"region": lookup.region})
+        if not addresses:
+            # An answer without addresses would send the caller nowhere.
+            await exchange.reply(503, [], b"no VM takes callers now\n")
+            return
+        body = wire.write_lookup(addresses, self.lookup.ttl_s)
+        await exchange.reply(200, [(b"content-type", b"application/json")], body)
+
+    async def answer_readiness(self, exchange: Exchange):
+        """Answer whether this VM takes callers."""
+        if self.state is VmState.READY:
+            await exchange.reply(200, [], b"ready\n")
+        else:
+            await exchange.reply(503, [], f"{self.state}\n".encode())
+
+    async def announce_leaving(self):
+        """Tell all VMs that this one is to be left out of look-ups."""
+        self.state = VmState.LEAVING
+        await self.peers.send_now()
+
+
+def _ips(addresses: tuple[str, ...]) -> set[str]:
+    return {address.rpartition(":")[0] for address in addresses}
--- /dev/null
+++ b/packages/gateway/plantainshed_gateway/members.py
@@ -0,0 +1,195 @@
+"""Which VMs there are, which are alive, and what each says of itself.
+
+Every VM sends a small heartbeat to each other one. It names the sender, what
+it uses of shared limits, and the newest change that it knows of each
+collection, so that a VM that the store turns away notices what it misses.
+"""
+
+from enum import StrEnum
+
+import cattrs
+import orjson
+import trio
+from attrs import define, field, frozen
+
+HEARTBEAT_S = 0.5
+# Four heartbeats: one lost datagram is common, three in a row are not. It
+# keeps a dead VM out of look-ups well within the 5 s that callers allow.
+ALIVE_S = 2.0
+# How long a silent VM is still sent heartbeats and keeps its part of limits.
+FORGET_S = 300.0
+MAX_DATAGRAM_BYTES = 60_000
+
+
+class VmState(StrEnum):
+    """What a VM is doing."""
+
+    STARTING = "starting"
+    READY = "ready"
+    LEAVING = "leaving"
+
+
+@frozen
+class Use:
+    """What a VM uses of one workspace's quota.
+
+    Parameters
+    ----------
+    demand : float
+        Requests a second that its callers ask for.
+    share : float
+        Part of the quota that it allows itself, from 0 to 1.
+    """
+
+    demand: float
+    share: float
+
+
+@frozen
+class Heartbeat:
+    """One VM's news of itself.
+
+    Parameters
+    ----------
+    vm, failure_domain, region : str
+    incarnation : int
+        Grows with each start of the VM's process.
+    number : int
+        Grows with each heartbeat of an incarnation.
+    state : VmState
+    callers : str
+        ``IP:PORT`` for callers.
+    control : str
+        ``IP:PORT`` for other VMs.
+    newest : dict of str to int
+        Revision of the newest change that it knows, by collection.
+    use : dict of str to Use
+        By workspace.
+    poison : tuple of str
+        Fingerprints of requests that targets died of.
+    """
+
+    vm: str
+    failure_domain: str
+    region: str
+    incarnation: int
+    number: int
+    state: VmState
+    callers: str
+    control: str
+    newest: dict[str, int] = field(factory=dict)
+    use: dict[str, Use] = field(factory=dict)
+    poison: tuple[str, ...] = ()
+
+    def to_bytes(self) -> bytes:
+        """Encode for a datagram."""
+        return orjson.dumps(_CONVERTER.unstructure(self))
+
+    @classmethod
+    def from_bytes(cls, data: bytes) -> "Heartbeat":
+        """Decode, or raise `ValueError`."""
+        try:
+            return _CONVERTER.structure(orjson.loads(data), cls)
+        except (cattrs.BaseValidationError, TypeError, KeyError) as error:
+            raise ValueError(f"not a heartbeat: {error!r}") from error
+
+
+_CONVERTER = cattrs.Converter(detailed_validation=False)
+
+
+@define
+class Member:
+    """Another VM as this one knows it.
+
+    Attributes
+    ----------
+    ip : str
+        Where heartbeats are sent to.
+    heartbeat : Heartbeat or None
+        The newest one; None if it was only named by the store.
+    heard_at : float
+    """
+
+    ip: str
+    heartbeat: Heartbeat | None = None
+    heard_at: float = float("-inf")
+    known_since: float = field(factory=trio.current_time)
+
+    @property
+    def is_alive(self) -> bool:
+        """Whether it was heard a moment ago."""
+        return trio.current_time() - self.heard_at < ALIVE_S
+
+    @property
+    def is_forgotten(self) -> bool:
+        """Whether it has been silent for so long that it counts as gone."""
+        return trio.current_time() - max(self.heard_at, self.known_since) > FORGET_S
+
+
+class Members:
+    """All VMs that this one knows, itself aside.
+
+    Parameters
+    ----------
+    own : Heartbeat
+        Replaced with each heartbeat that is sent.
+    """
+
+    def __init__(self, own: Heartbeat):
+        self.own = own
+        self.table: dict[str, Member] = {}
+
+    def note_listed(self, vm: str, ip: str):
+        """Take in a VM that the store or a seed address names."""
+        if vm != self.own.vm and vm not in self.table:
+            self.table[vm] = Member(ip)
+
+    def take(self, heartbeat: Heartbeat, ip: str) -> bool:
+        """Take in a heartbeat; tell whether it is newer than what is known."""
+        if heartbeat.vm == self.own.vm:
+            return False
+        member = self.table.setdefault(heartbeat.vm, Member(ip))
+        known = member.heartbeat
+        if known is not None and _order(heartbeat) <= _order(known):
+            return False
+        member.ip = ip
+        member.heartbeat = heartbeat
+        member.heard_at = trio.current_time()
+        return True
+
+    def forget_gone(self) -> list[str]:
+        """Forget VMs that have long been silent; return their names."""
+        gone = [vm for vm, member in self.table.items() if member.is_forgotten]
+        for vm in gone:
+            del self.table[vm]
+        return gone
+
+    def alive(self) -> list[Heartbeat]:
+        """Return the newest heartbeats of this VM and all that are alive."""
+        heard = [
+            member.heartbeat
+            for member in self.table.values()
+            if member.heartbeat is not None and member.is_alive
+        ]
+        return [self.own, *heard]
+
+    def ready(self) -> list[Heartbeat]:
+        """Return those that take callers."""
+        return [beat for beat in self.alive() if beat.state is VmState.READY]
+
+    def silent(self) -> list[Heartbeat]:
+        """Return what silent VMs said last; they may live behind a partition."""
+        return [
+            member.heartbeat
+            for member in self.table.values()
+            if member.heartbeat is not None and not member.is_alive
+        ]
+
+    @property
+    def count(self) -> int:
+        """Number of VMs that exist, silent ones and this one included."""
+        return 1 + len(self.table)
+
+
+def _order(heartbeat: Heartbeat) -> tuple[int, int]:
+    return heartbeat.incarnation, heartbeat.number
--- /dev/null
+++ b/packages/gateway/plantainshed_gateway/peers.py
@@ -0,0 +1,156 @@
+"""What VMs say to each other: heartbeats, and copies of state on request.
+
+Heartbeats are datagrams. A copy of a collection is fetched over HTTP from a VM
+that knows a newer change; see `replication`.
+"""
+
+import contextlib
+from collections.abc import Callable
+
+import orjson
+import trio
+
+from plantainshed_http.client import fetch
+from plantainshed_http.errors import HttpError
+from plantainshed_http.server import Exchange
+
+from .errors import StoreUnavailable
+from .logs import DecisionLog
+from .members import HEARTBEAT_S, MAX_DATAGRAM_BYTES, Heartbeat, Members
+from .ports import Collection, Item, Snapshot
+from .replication import Replica
+
+STATE_PATH = "/state/"
+# Time for a copy from a VM in another region, which is some 100 KB at most.
+FETCH_TIMEOUT_S = 1.0
+
+
+class Peers:
+    """Sends and receives heartbeats.
+
+    Parameters
+    ----------
+    members : Members
+    ip : str
+    port : int
+        The same on all VMs.
+    make_heartbeat : callable
+        Returns what this VM says of itself now.
+    on_heartbeat : callable
+        Called with each new heartbeat.
+    log : DecisionLog
+    """
+
+    def __init__(
+        self,
+        members: Members,
+        ip: str,
+        port: int,
+        make_heartbeat: Callable[[], Heartbeat],
+        on_heartbeat: Callable[[Heartbeat], None],
+        log: DecisionLog,
+    ):
+        self.members = members
+        self.ip = ip
+        self.port = port
+        self.make_heartbeat = make_heartbeat
+        self.on_heartbeat = on_heartbeat
+        self.log = log
+        self.seeds: set[str] = set()
+        self.is_paused = False
+        self._alive: set[str] = set()
+        self._socket: trio.socket.SocketType | None = None
+        self._malformed = 0
+
+    @contextlib.asynccontextmanager
+    async def open(self):
+        """Hold the socket for the length of a block."""
+        with trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM) as sock:
+            await sock.bind((self.ip, self.port))
+            self._socket = sock
+            yield self
+
+    async def send_heartbeats(self):
+        """Send heartbeats until cancelled."""
+        while True:
+            await self.send_now()
+            self._log_changes()
+            await trio.sleep(HEARTBEAT_S)
+
+    async def send_now(self):
+        """Send one heartbeat to every other VM."""
+        self.members.own = self.make_heartbeat()
+        data = self.members.own.to_bytes()
+        ips = {member.ip for member in self.members.table.values()}
+        for ip in ips | self.seeds:
+            if ip == self.ip:
+                continue
+            try:
+                await self._socket.sendto(data, (ip, self.port))
+            except OSError as error:
+                # No route or no listener; the next one may get through.
+                self.log.event("heartbeat not sent", to=ip, problem=str(error))
+
+    async def receive_heartbeats(self):
+        """Take in heartbeats until cancelled."""
+        while True:
+            try:
+                data, (ip, _) = await self._socket.recvfrom(MAX_DATAGRAM_BYTES)
+            except OSError as error:
+                # An earlier datagram met a closed port; the socket is sound.
+                self.log.event("datagram refused", problem=str(error))
+                continue
+            try:
+                heartbeat = Heartbeat.from_bytes(data)
+            except ValueError as error:
+                self.log.event("datagram not understood", ip=ip, problem=str(error))
+                continue
+            if self.members.take(heartbeat, ip):
+                self.on_heartbeat(heartbeat)
+
+    def _log_changes(self):
+        alive = {beat.vm for beat in self.members.alive()}
+        for vm in sorted(alive - self._alive):
+            self.log.event("vm alive", peer=vm, known=self.members.count)
+        for vm in sorted(self._alive - alive):
+            member = self.members.table.get(vm)
+            age = trio.current_time() - member.heard_at if member else 0.0
+            self.log.event("vm silent", peer=vm, heard_s_ago=round(age, 3))
+        self._alive = alive
+
+
+async def fetch_state(address: str, collection: Collection) -> Snapshot:
+    """Return another VM's copy of a collection, or raise `StoreUnavailable`."""
+    path = STATE_PATH + collection
+    try:
+        head, body = await fetch(address, "GET", path, timeout_s=FETCH_TIMEOUT_S)
+        state = orjson.loads(body)
+        items = [Item(i["name"], i["revision"], i["value"]) for i in state["items"]]
+        snapshot = Snapshot(tuple(items), state["revision"])
+    except (HttpError, ValueError, TypeError, KeyError) as error:
+        raise StoreUnavailable(f"{address}: {error!r}") from error
+    if head.status != 200:
+        raise StoreUnavailable(f"{address}: status {head.status}")
+    return snapshot
+
+
+class StateHandler:
+    """Gives other VMs copies of this one's collections."""
+
+    def __init__(self, replicas: dict[Collection, Replica]):
+        self.replicas = replicas
+
+    async def handle(self, exchange: Exchange):
+        """Answer one request for a collection."""
+        name = exchange.request.target.removeprefix(STATE_PATH)
+        replica = self.replicas.get(name)
+        if replica is None or not replica.is_known:
+            await exchange.reply(404, [], b"no such state here\n")
+            return
+        items = [
+            {"name": item.name, "revision": item.revision, "value": item.value}
+            for item in replica.items.values()
+        ]
+        body = orjson.dumps({"revision": replica.revision, "items": items})
+        headers = [(b"content-type", b"application/json")]
+        await exchange.reply(200, headers, body)
--- /dev/null
+++ b/packages/gateway/plantainshed_gateway/reasons.py
@@ -0,0 +1,24 @@
+"""Why a request was refused, retried or failed; labels of logs and counters."""
+
+from enum import StrEnum
+
+
+class Reason(StrEnum):
+    """Reasons in logs and metrics."""
+
+    NOT_CONFIGURED = "not_configured"
+    BAD_REQUEST = "bad_request"
+    BODY_TOO_LARGE = "body_too_large"
+    NO_ROUTE = "no_route"
+    UNKNOWN_KEY = "unknown_key"
+    OVER_QUOTA = "over_quota"
+    NO_TARGET = "no_target"
+    NO_ROOM = "no_room"
+    TIMEOUT = "timeout"
+    CONNECT_FAILED = "connect_failed"
+    TARGET_BUSY = "target_busy"
+    OTHER_INSTANCE = "other_instance"
+    CONNECTION_BROKEN = "connection_broken"
+    SPOILT_ANSWER = "spoilt_answer"
+    TARGET_ERROR = "target_error"
+    CALLER_LEFT = "caller_left"
--- /dev/null
+++ b/packages/gateway/plantainshed_gateway/registry.py
@@ -0,0 +1,283 @@
+"""The targets that registered themselves, and what this VM learned of them."""
+
+import trio
+from attrs import define
+
+from plantainshed_coordination.digests import rendezvous_order
+
+from .model import Configuration
+from .ports import TargetEntry, TargetLoad
+
+# How long after the store came back an entry that lapsed meanwhile still
+# names a target: it is written again within two seconds if the target lives.
+LAPSE_GRACE_S = 2.2
+# Failures in a row after which a target gets nothing for a while, and for how
+# long at first. One failure can be a single lost answer.
+FAILURES_TO_EJECT = 3
+EJECT_S = 1.0
+LONGEST_EJECT_S = 8.0
+# How long a target that refused a connection, or turned out to be another
+# instance, gets nothing. Its entry is gone within a few heartbeats of 1.5 s.
+UNREACHABLE_S = 1.5
+# How long a target's own report of its load is used.
+LOAD_FRESH_S = 1.0
+# Time in which the share of objects of a new target grows to its full size,
+# so that under 15 % of a region's requests move to another region in 2 s.
+RAMP_S = 10.0
+RAMP_STEPS = 10
+# Most of a pool that may be out because requests failed there; when more seem
+# broken, the fault is more likely elsewhere.
+MOST_EJECTED = 0.5
+
+
+@define(eq=False)
+class TargetState:
+    """One target as this VM sees it.
+
+    Attributes
+    ----------
+    entry : TargetEntry
+    cold_until : float
+        When its warm-up ends.
+    ramp_from : float
+        When its share of objects began to grow.
+    in_flight : int
+        Requests that this VM has there.
+    load, load_at, in_flight_at_load
+        What the target said of its load, when, and this VM's own part then.
+    failures, ejections : int
+        Failures in a row; how often it was ejected lately.
+    out_until : float
+        Until when it gets nothing.
+    """
+
+    entry: TargetEntry
+    cold_until: float = 0.0
+    ramp_from: float = float("-inf")
+    in_flight: int = 0
+    load: TargetLoad | None = None
+    load_at: float = float("-inf")
+    in_flight_at_load: int = 0
+    failures: int = 0
+    ejections: int = 0
+    out_until: float = 0.0
+    lapsed_at: float | None = None
+
+    @property
+    def is_cold(self) -> bool:
+        """Whether it is still warming up."""
+        return self.cold_until > trio.current_time()
+
+    @property
+    def is_out(self) -> bool:
+        """Whether it gets nothing for a while."""
+        return self.out_until > trio.current_time()
+
+    @property
+    def weight(self) -> float:
+        """Its share of objects beside other targets, from 0.1 to 1."""
+        ramped = (trio.current_time() - self.ramp_from) / RAMP_S
+        steps = 1 + int(max(0.0, ramped) * RAMP_STEPS)
+        return min(1.0, steps / RAMP_STEPS)
+
+    @property
+    def occupancy(self) -> float:
+        """Requests there, running or waiting, for each of its slots."""
+        return self.expected_load / max(1, self.entry.slots)
+
+    @property
+    def expected_load(self) -> float:
+        """Requests there: what it said last, and what changed here since."""
+        if trio.current_time() - self.load_at > LOAD_FRESH_S or self.load is None:
+            return float(self.in_flight)
+        reported = self.load.running + self.load.waiting
+        return max(self.in_flight, reported + self.in_flight - self.in_flight_at_load)
+
+    def note_load(self, load: TargetLoad | None):
+        """Take in what it says of its load."""
+        if load is None:
+            return
+        self.load = load
+        self.load_at = trio.current_time()
+        self.in_flight_at_load = self.in_flight
+
+    def note_cold(self, seconds: float):
+        """Take in how long it says that it stays cold."""
+        if seconds > 0:
+            self.cold_until = max(self.cold_until, trio.current_time() + seconds)
+
+    def note_success(self):
+        """Note that it answered a request in full."""
+        self.failures = 0
+        self.ejections = 0
+
+    def note_failure(self):
+        """Note that a request found it broken."""
+        self.failures += 1
+        if self.failures < FAILURES_TO_EJECT:
+            return
+        seconds = min(LONGEST_EJECT_S, EJECT_S * 2**self.ejections)
+        self.out_until = max(self.out_until, trio.current_time() + seconds)
+        self.ejections += 1
+        self.failures = 0
+
+    def note_unreachable(self):
+        """Note that it accepts no connection, or is another instance now."""
+        self.out_until = max(self.out_until, trio.current_time() + UNREACHABLE_S)
+
+
+class Registry:
+    """All registered targets, by instance.
+
+    Attributes
+    ----------
+    region_of : dict of str to str
+        By failure domain.
+    evacuated : set of str
+        Failure domains whose targets get nothing.
+    """
+
+    def __init__(self, region_of: dict[str, str]):
+        self.region_of = region_of
+        self.states: dict[str, TargetState] = {}
+        self.evacuated: frozenset[str] = frozenset()
+        self.configuration: Configuration | None = None
+        self.generation = 0
+        self._by_pool: dict[str, list[TargetState]] = {}
+        self._is_first = True
+
+    def take_entries(self, entries: list[TargetEntry], may_have_lapsed: bool):
+        """Take over the registered targets.
+
+        Parameters
+        ----------
+        entries : list of TargetEntry
+        may_have_lapsed : bool
+            Whether the store has just come back from an outage. Entries that
+            ran out meanwhile are then missing though their targets live, and
+            dropping them at once would leave pools empty for two seconds.
+        """
+        named = {entry.instance: entry for entry in entries}
+        now = trio.current_time()
+        states = {}
+        for instance, entry in named.items():
+            states[instance] = self._taken(self.states.get(instance), entry)
+        if may_have_lapsed:
+            for instance, state in self.states.items():
+                if instance not in named and not state.entry.is_leaving:
+                    state.lapsed_at = state.lapsed_at or now
+                    states[instance] = state
+        self.states = states
+        self._is_first = False
+        self._group()
+
+    def _taken(self, state: TargetState | None, entry: TargetEntry) -> TargetState:
+        if state is None or _is_new_run(state.entry, entry):
+            state = self._new_state(entry)
+        state.entry = entry
+        state.lapsed_at = None
+        state.note_cold(entry.cold_for_s)
+        return state
+
+    def _new_state(self, entry: TargetEntry) -> TargetState:
+        state = TargetState(entry)
+        if not self._is_first:
+            # It joined while this VM was looking on, so it has just started.
+            state.ramp_from = trio.current_time()
+            state.note_cold(self._warmup_of(entry.pool))
+        return state
+
+    def drop_lapsed(self):
+        """Forget targets whose entry did not come back after an outage."""
+        gone = [
+            instance
+            for instance, state in self.states.items()
+            if state.lapsed_at is not None
+            and trio.current_time() - state.lapsed_at > LAPSE_GRACE_S
+        ]
+        for instance in gone:
+            del self.states[instance]
+        if gone:
+            self._group()
+
+    def take_configuration(self, configuration: Configuration):
+        """Take over the pools of a new configuration."""
+        self.configuration = configuration
+        self._group()
+
+    def take_evacuated(self, failure_domains: frozenset[str]):
+        """Take over which failure domains get nothing.
+
+        The targets of one that is taken back can have lost their caches and
+        bear little at first.
+        """
+        for state in self.states.values():
+            domain = state.entry.failure_domain
+            if domain in self.evacuated and domain not in failure_domains:
+                state.note_cold(self._warmup_of(state.entry.pool))
+                state.ramp_from = trio.current_time()
+        self.evacuated = failure_domains
+        self._group()
+
+    def _warmup_of(self, pool: str) -> float:
+        known = self.configuration.pools.get(pool) if self.configuration else None
+        return known.warmup_s if known else 0.0
+
+    def _group(self):
+        self.generation += 1
+        self._by_pool = {}
+        for state in self.states.values():
+            entry = state.entry
+            if entry.is_leaving or entry.failure_domain in self.evacuated:
+                continue
+            self._by_pool.setdefault(entry.pool, []).append(state)
+
+    def assigned(self, pool: str, home_regions: frozenset[str]) -> list[TargetState]:
+        """Return the targets of a pool that may get new work, sound or not."""
+        states = self._by_pool.get(pool, [])
+        if not home_regions:
+            return states
+        return [
+            state
+            for state in states
+            if self.region_of.get(state.entry.failure_domain) in home_regions
+        ]
+
+    def usable(self, pool: str, home_regions: frozenset[str]) -> list[TargetState]:
+        """Return the targets of a pool to use now.
+
+        A false alarm must not empty a pool: when over half of it is out, all
+        of it is used.
+        """
+        assigned = self.assigned(pool, home_regions)
+        sound = [state for state in assigned if not state.is_out]
+        if len(sound) < len(assigned) * MOST_EJECTED:
+            return assigned
+        return sound
+
+    def is_current(self, state: TargetState) -> bool:
+        """Tell whether a target may still get new work."""
+        entry = state.entry
+        return (
+            self.states.get(entry.instance) is state
+            and not entry.is_leaving
+            and entry.failure_domain not in self.evacuated
+        )
+
+
+def cold_admitters(instance: str, vms: list[str], most: int) -> list[str]:
+    """Return the VMs that may send to a cold target, the same on all of them.
+
+    Its bound holds for all VMs together. Were each VM to use an even part, a
+    part would be under one request a second on a large fleet.
+    """
+    return rendezvous_order(instance, vms)[: max(1, most)]
+
+
+def _is_new_run(known: TargetEntry, entry: TargetEntry) -> bool:
+    """Tell whether a target has started again under the name that it had."""
+    return (
+        known.started_ms != entry.started_ms
+        or known.address != entry.address
+        or known.pool != entry.pool
+    )
--- /dev/null
+++ b/packages/gateway/plantainshed_gateway/replication.py
@@ -0,0 +1,223 @@
+"""Keeping a copy of a collection of the store, from the store or from peers.
+
+`Follower.run` lists a collection once and then waits for changes. While the
+store turns this VM away, other VMs may still be served: their heartbeats name
+the newest change that they know, and `take_from_peer` brings this VM up to it.
+A copy never goes back to an older revision.
+"""
+
+from collections.abc import Awaitable, Callable
+
+import trio
+from attrs import define, field
+
+from .errors import HistoryGone, StoreUnavailable
+from .logs import DecisionLog
+from .ports import Changes, Collection, Item, Snapshot, Store
+
+# First and longest pause between calls to a store that does not answer. It is
+# back within the time in which a configuration must be in force, 2 s.
+FIRST_RETRY_S = 0.1
+LONGEST_RETRY_S = 0.8
+# Time until a waiting watch counts as lost though nothing closed it. Peers
+# notice sooner (`PEER_GRACE_S`); this bounds it for a VM that hears none.
+WATCH_SILENCE_S = 6.0
+# How long a watch may lag behind a peer's before the peer is asked: longer
+# than a watch's answer takes between regions (about 30 ms), and short beside
+# the 2 s in which a change must be in force.
+PEER_GRACE_S = 0.25
+
+Listener = Callable[[Collection], None]
+FetchFromPeer = Callable[[str, Collection], Awaitable[Snapshot]]
+
+
+@define
+class Replica:
+    """A copy of one collection.
+
+    Attributes
+    ----------
+    items : dict of str to Item
+    revision : int
+        Up to which revision of the store the copy is complete; 0 before the
+        first.
+    changed_at_revision : int
+        Revision of the newest change that is known.
+    heard_at : float
+        When the store, or a peer, last confirmed it.
+    """
+
+    collection: Collection
+    items: dict[str, Item] = field(factory=dict)
+    revision: int = 0
+    changed_at_revision: int = 0
+    heard_at: float = float("-inf")
+
+    @property
+    def is_known(self) -> bool:
+        """Whether any state has ever been taken."""
+        return self.revision > 0
+
+    def take_snapshot(self, snapshot: Snapshot) -> bool:
+        """Replace the copy by a newer one; tell whether anything changed."""
+        if snapshot.revision < self.revision:
+            return False
+        items = {item.name: item for item in snapshot.items}
+        changed = items != self.items or not self.is_known
+        if set(self.items) - set(items):
+            # A deletion has no revision of its own that a list would show.
+            self.changed_at_revision = snapshot.revision
+        newest = max((item.revision for item in items.values()), default=0)
+        self.changed_at_revision = max(self.changed_at_revision, newest)
+        self.items = items
+        self.revision = snapshot.revision
+        self.heard_at = trio.current_time()
+        return changed
+
+    def take_changes(self, changes: Changes) -> bool:
+        """Apply what a watch brought; tell whether anything changed."""
+        self.heard_at = trio.current_time()
+        changed = False
+        for change in changes.changes:
+            item = change.item
+            known = self.items.get(item.name)
+            if known is not None and known.revision > item.revision:
+                continue
+            changed = True
+            if change.is_deleted:
+                self.items.pop(item.name, None)
+            else:
+                self.items[item.name] = item
+            self.changed_at_revision = max(self.changed_at_revision, item.revision)
+        self.revision = max(self.revision, changes.revision)
+        return changed
+
+
+class Follower:
+    """Follows one collection.
+
+    Parameters
+    ----------
+    store : Store
+    collection : Collection
+    listener : callable
+        Called after each change of the copy.
+    log : DecisionLog
+    """
+
+    def __init__(
+        self, store: Store, collection: Collection, listener: Listener, log: DecisionLog
+    ):
+        self.store = store
+        self.collection = collection
+        self.listener = listener
+        self.log = log
+        self.replica = Replica(collection)
+        self.is_in_touch = False
+        self.lost_at: float | None = None
+        self.regained_at = float("-inf")
+        self._retry_s = FIRST_RETRY_S
+        self._must_list = True
+        self._watching: trio.CancelScope | None = None
+        self._taking = False
+
+    async def run(self):
+        """Follow the collection until cancelled."""
+        while True:
+            try:
+                if self._must_list:
+                    await self._list()
+                await self._watch()
+            except HistoryGone:
+                self._must_list = True
+                self.log.event(
+                    "store history gone", collection=self.collection, action="list"
+                )
+            except StoreUnavailable as error:
+                self._note_lost(str(error))
+                await trio.sleep(self._retry_s)
+                self._retry_s = min(LONGEST_RETRY_S, 2 * self._retry_s)
+
+    async def _list(self):
+        snapshot = await self.store.list(self.collection)
+        self._must_list = False
+        self._note_regained()
+        if self.replica.take_snapshot(snapshot):
+            self.listener(self.collection)
+
+    async def _watch(self):
+        with trio.move_on_after(WATCH_SILENCE_S) as self._watching:
+            changes = await self.store.watch(self.collection, self.replica.revision)
+            self._note_regained()
+            if self.replica.take_changes(changes):
+                self.listener(self.collection)
+        if self._watching.cancelled_caught:
+            raise StoreUnavailable("the watch went silent")
+
+    def _note_regained(self):
+        self._retry_s = FIRST_RETRY_S
+        if self.is_in_touch:
+            return
+        self.is_in_touch = True
+        if self.lost_at is not None:
+            self.regained_at = trio.current_time()
+        self.log.event(
+            "store regained",
+            collection=self.collection,
+            revision=self.replica.revision,
+            lost_for_s=self._lost_for_s(),
+        )
+        self.lost_at = None
+
+    def _note_lost(self, problem: str):
+        if self.lost_at is None:
+            self.lost_at = trio.current_time()
+            self.log.event(
+                "store lost",
+                collection=self.collection,
+                revision=self.replica.revision,
+                problem=problem,
+            )
+        self.is_in_touch = False
+
+    def _lost_for_s(self) -> float:
+        if self.lost_at is None:
+            return 0.0
+        return round(trio.current_time() - self.lost_at, 3)
+
+    async def catch_up(self, peer: str, newest: int, fetch: FetchFromPeer):
+        """Take the copy of a peer that knows a newer change than this VM.
+
+        A watch can go silent, or the store can turn this VM away and tell the
+        others: callers here would meet old routes, old keys and targets that
+        have left, for as long as that lasts. What a peer knows came from the
+        store, so taking it is as good as having heard it.
+        """
+        if self._taking or self.replica.revision >= newest:
+            return
+        self._taking = True
+        try:
+            await trio.sleep(PEER_GRACE_S)
+            if self.replica.revision >= newest:
+                return
+            snapshot = await fetch(peer, self.collection)
+            before = self.replica.revision
+            changed = self.replica.take_snapshot(snapshot)
+            self.log.event(
+                "state taken from peer",
+                collection=self.collection,
+                peer=peer,
+                revision_before=before,
+                revision=self.replica.revision,
+                changed=changed,
+            )
+            if changed:
+                self.listener(self.collection)
+            self._restart_watch()
+        finally:
+            self._taking = False
+
+    def _restart_watch(self):
+        """End a watch that a peer has overtaken; it waits for what is past."""
+        if self._watching is not None:
+            self._watching.cancel()
--- /dev/null
+++ b/packages/gateway/plantainshed_gateway/serving.py
@@ -0,0 +1,324 @@
+"""A caller's request from its head to its answer.
+
+`Serving.serve` reads like the story: whose is it, which target answers it, and
+what the caller is told if none does.
+"""
+
+import contextlib
+from http import HTTPStatus
+
+import orjson
+import trio
+
+from plantainshed_http.errors import BadMessage, ConnectionBroken
+from plantainshed_http.messages import Headers, end_to_end
+from plantainshed_http.server import Exchange
+
+from .admission import Admission
+from .call import Call
+from .context import Context
+from .errors import AttemptFailed, BadRequest, Refusal
+from .forwarding import Answer, Forwarder
+from .members import Members
+from .placement import Placement
+from .reasons import Reason
+from .registry import TargetState
+from .retry_budget import RetryBudgets
+
+# How long after a route's timeout an answer that is just arriving is still
+# taken: a round trip between regions is 24 ms, and the caller is told within a
+# quarter of a second in any case.
+READY_ANSWER_GRACE_S = 0.1
+# Attempts beyond the route's, for those that no target ran or saw.
+MORE_ATTEMPTS_NOT_RUN = 2
+# Time that must be left for another attempt to be of use.
+LEAST_SECONDS_FOR_RETRY = 0.05
+# When a refused caller may come back: a target's queue has moved on by then.
+NO_ROOM_RETRY_AFTER_S = 0.4
+NO_BODY_STATUS = frozenset({HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED})
+
+
+class Serving:
+    """Serves callers' requests on this VM.
+
+    Attributes
+    ----------
+    in_flight : int
+        Requests that were read and not yet answered.
+    """
+
+    def __init__(
+        self,
+        context: Context,
+        admission: Admission,
+        placement: Placement,
+        forwarder: Forwarder,
+        retries: RetryBudgets,
+        members: Members,
+    ):
+        self.log = context.log
+        self.metrics = context.metrics
+        self.wire = context.surroundings.wire
+        self.admission = admission
+        self.placement = placement
+        self.forwarder = forwarder
+        self.retries = retries
+        self.members = members
+        self.in_flight = 0
+
+    async def serve(self, exchange: Exchange):
+        """Answer one request, by a target or by a refusal."""
+        began_at = trio.current_time()
+        self.in_flight += 1
+        call = None
+        try:
+            body = await self._read_body(exchange)
+            call = self.admission.admit(exchange.request, body, began_at)
+            self.retries.note_request(call.pool)
+            await self._run(exchange, call)
+        except Refusal as refusal:
+            await self._refuse(exchange, call, refusal, began_at)
+        finally:
+            self.in_flight -= 1
+
+    async def _read_body(self, exchange: Exchange) -> bytes:
+        configuration = self.admission.configuration
+        limit = configuration.limits.max_body_bytes if configuration else 0
+        try:
+            return await exchange.read_body(limit)
+        except BadMessage as problem:
+            if problem.status != HTTPStatus.REQUEST_ENTITY_TOO_LARGE:
+                raise
+            if configuration is None:
+                # Nothing is known yet, also not how long a body may be.
+                return b""
+            raise Refusal(
+                HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+                Reason.BODY_TOO_LARGE,
+                problem.reason,
+            ) from problem
+
+    async def _run(self, exchange: Exchange, call: Call):
+        """Have a request answered in time, or raise `Refusal`."""
+        with trio.move_on_at(call.answer_by + READY_ANSWER_GRACE_S) as scope:
+            if not call.route.is_idempotent:
+                # A run that was begun is let end though its caller has left:
+                # broken off, nobody could tell whether it had taken effect.
+                await self._attempt_until_answered(exchange, call)
+                return
+            async with exchange.cancelled_when_caller_leaves() as caller:
+                await self._attempt_until_answered(exchange, call)
+                return
+        if scope.cancelled_caught:
+            raise self._given_up(call, Reason.TIMEOUT, "no target answered in time")
+        if caller.cancelled_caught:
+            self._log(call, HTTPStatus.BAD_GATEWAY, Reason.CALLER_LEFT)
+
+    async def _attempt_until_answered(self, exchange: Exchange, call: Call):
+        excluded: set[str] = set()
+        while True:
+            state = self._choose(call, excluded)
+            excluded.add(state.entry.instance)
+            call.tried.append(state.entry.instance)
+            failure = await self._attempt(exchange, call, state)
+            if failure is None:
+                return
+            if not self._may_try_again(call, failure):
+                raise self._given_up(call, failure.reason, str(failure))
+            self.metrics.count_retry(failure.reason, call.pool)
+
+    def _choose(self, call: Call, excluded: set[str]) -> TargetState:
+        configuration = self.admission.configuration
+        vms = [beat.vm for beat in self.members.ready()]
+        if call.pool not in configuration.pools:
+            raise self._given_up(
+                call, Reason.NO_TARGET, f"pool {call.pool} is not configured any more"
+            )
+        state = self.placement.choose(call, configuration, excluded, vms)
+        if state is None:
+            raise self._given_up(
+                call, Reason.NO_TARGET, f"no target of {call.pool} can take it now"
+            )
+        return state
+
+    async def _attempt(
+        self, exchange: Exchange, call: Call, state: TargetState
+    ) -> AttemptFailed | None:
+        began_at = trio.current_time()
+        call.attempts += 1
+        ran_before = call.may_have_run
+        # Until the target says otherwise; a cancellation must not lose this.
+        call.may_have_run = True
+        state.in_flight += 1
+        try:
+            async with self.forwarder.answer(call, state) as answer:
+                took_s = trio.current_time() - began_at
+                if self._is_worth_another(call, answer):
+                    raise AttemptFailed(
+                        Reason.TARGET_ERROR, f"status {answer.head.status}", True
+                    )
+                await self._pass_on(exchange, call, answer)
+        except AttemptFailed as failure:
+            call.may_have_run = ran_before or failure.may_have_run
+            self._learn_from(call, state, failure)
+            return failure
+        finally:
+            state.in_flight -= 1
+        if answer.head.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+            state.note_failure()
+        else:
+            state.note_success()
+        self.metrics.attempt_latency.observe({"pool": call.pool}, took_s)
+        self._log(call, answer.head.status, None, attempt_s=round(took_s, 4))
+        return None
+
+    def _is_worth_another(self, call: Call, answer: Answer) -> bool:
+        """Tell whether another target may do better than a failed one."""
+        return (
+            answer.head.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+            and call.route.is_idempotent
+            and call.attempts < call.route.attempts
+            and call.seconds_left > call.route.objective_s / 2
+        )
+
+    def _learn_from(self, call: Call, state: TargetState, failure: AttemptFailed):
+        if failure.reason in (Reason.CONNECT_FAILED, Reason.OTHER_INSTANCE):
+            state.note_unreachable()
+        elif failure.reason is not Reason.TARGET_BUSY:
+            state.note_failure()
+        self.log.event(
+            "attempt failed",
+            request_id=call.request.request_id,
+            route=call.route.name,
+            target=state.entry.instance,
+            reason=failure.reason,
+            problem=str(failure),
+            may_have_run=failure.may_have_run,
+            seconds_left=round(call.seconds_left, 3),
+        )
+
+    def _may_try_again(self, call: Call, failure: AttemptFailed) -> bool:
+        most = call.route.attempts
+        if not call.may_have_run:
+            most += MORE_ATTEMPTS_NOT_RUN
+        elif not call.route.is_idempotent:
+            # It may have run. A second run could book a second chair.
+            return False
+        if call.attempts >= most or call.seconds_left < LEAST_SECONDS_FOR_RETRY:
+            return False
+        return self.retries.try_spend(call.pool, self.members.count)
+
+    def _given_up(self, call: Call, reason: Reason, message: str) -> Refusal:
+        """Return what a caller is told whose request no target answered."""
+        if not call.may_have_run:
+            if call.workspace is not None:
+                self.admission.quotas.give_back(call.workspace)
+            return Refusal(
+                HTTPStatus.SERVICE_UNAVAILABLE, reason, message, NO_ROOM_RETRY_AFTER_S
+            )
+        status = HTTPStatus.BAD_GATEWAY
+        if reason is Reason.TIMEOUT:
+            status = HTTPStatus.GATEWAY_TIMEOUT
+        return Refusal(status, reason, message)
+
+    # Answers.
+
+    async def _pass_on(self, exchange: Exchange, call: Call, answer: Answer):
+        headers = end_to_end(answer.head.headers)
+        if answer.rest is not None:
+            await self._stream(exchange, answer, headers)
+        elif call.head.method == "HEAD" or answer.head.status in NO_BODY_STATUS:
+            await exchange.start(answer.head.status, headers)
+            await exchange.finish()
+        else:
+            headers = [(k, v) for k, v in headers if k != b"content-length"]
+            await exchange.reply(answer.head.status, headers, answer.body)
+
+    async def _stream(self, exchange: Exchange, answer: Answer, headers: Headers):
+        """Pass on a long body piece by piece.
+
+        If it breaks off, only breaking off the caller's connection shows that
+        the rest is missing.
+        """
+        await exchange.start(answer.head.status, headers)
+        try:
+            await exchange.send(answer.body)
+            async for piece in answer.rest:
+                await exchange.send(piece)
+        except ConnectionBroken as error:
+            raise trio.BrokenResourceError from error
+        await exchange.finish()
+
+    async def _refuse(
+        self,
+        exchange: Exchange,
+        call: Call | None,
+        refusal: Refusal,
+        began_at: float,
+    ):
+        route = call.route.name if call else ""
+        self.metrics.count_refusal(refusal.reason, route)
+        self.log.event(
+            "refused",
+            request_id=_request_id(self.wire, exchange),
+            route=route,
+            pool=call.pool if call else "",
+            workspace=call.workspace_name if call else None,
+            status=refusal.status,
+            reason=refusal.reason,
+            problem=str(refusal),
+            retry_after_s=refusal.retry_after_s,
+            tried=call.tried if call else [],
+            may_have_run=call.may_have_run if call else False,
+            configuration=self._version,
+            took_s=round(trio.current_time() - began_at, 4),
+        )
+        if exchange.started:
+            raise trio.BrokenResourceError
+        await exchange.reply(refusal.status, self._headers(refusal), _body(refusal))
+
+    def _headers(self, refusal: Refusal) -> Headers:
+        headers = [(b"content-type", b"application/json")]
+        if refusal.retry_after_s is not None:
+            headers.append(self.wire.retry_after(refusal.retry_after_s))
+        return headers
+
+    @property
+    def _version(self) -> int:
+        configuration = self.admission.configuration
+        return configuration.version if configuration else 0
+
+    def _log(self, call: Call, status: int, reason: Reason | None, **more):
+        took_s = trio.current_time() - call.began_at
+        if reason is None:
+            self.metrics.count_answer(call.route.name, status, took_s)
+        self.log.event(
+            "answered" if reason is None else "dropped",
+            request_id=call.request.request_id,
+            route=call.route.name,
+            pool=call.pool,
+            workspace=call.workspace_name,
+            status=int(status),
+            reason=reason,
+            object=call.request.affinity,
+            tried=call.tried,
+            configuration=self._version,
+            took_s=round(took_s, 4),
+            **more,
+        )
+
+
+def _request_id(wire, exchange: Exchange) -> str:
+    with contextlib.suppress(BadRequest):
+        return wire.read_request(exchange.request).request_id
+    return ""
+
+
+def _body(refusal: Refusal) -> bytes:
+    return orjson.dumps(
+        {
+            "reason": refusal.reason,
+            "message": str(refusal),
+            "retry_after_s": refusal.retry_after_s,
+        }
+    )
--- /dev/null
+++ b/packages/gateway/plantainshed_gateway/settings.py
@@ -0,0 +1,205 @@
+"""The gateway's settings, read from an INI file and checked.
+
+Unknown options are ignored, so that a newer file starts an older program.
+"""
+
+import configparser
+from pathlib import Path
+
+from attrs import frozen
+
+from .durations import parse_duration
+from .errors import SettingsError
+
+
+@frozen
+class Addresses:
+    """Where the daemon listens, each ``IP:PORT``; empty if not served.
+
+    Parameters
+    ----------
+    callers : str
+        Callers' requests.
+    ready : str
+        The platform's readiness checks.
+    lookup : str
+        Callers' questions which VMs to use.
+    control : str
+        Other VMs that fetch a copy of this one's state.
+    metrics : str
+        Counters and histograms as text.
+    """
+
+    callers: str
+    ready: str
+    lookup: str
+    control: str
+    metrics: str
+
+
+@frozen
+class Bounds:
+    """What the deployment allows; durations in seconds.
+
+    Parameters
+    ----------
+    stop_within_s : float
+        Time from the signal to stop until the process is killed.
+    longest_ttl_s : float
+        Longest time for which callers keep an answered look-up.
+    retry_ratio, retry_slack, retry_window_s
+        Further attempts that a pool may get in a window: this share of its
+        requests, and so many more.
+    quota_window_s, quota_over, quota_slack
+        Window in which a workspace's requests are counted, and by how much,
+        as a share and as a number, they may lie over its rate and burst.
+    cold_over, cold_slack
+        The same for requests to a cold target in a second.
+    drain_s : float
+        Time after which a target that leaves must get nothing.
+    """
+
+    stop_within_s: float
+    longest_ttl_s: float
+    retry_ratio: float
+    retry_slack: float
+    retry_window_s: float
+    quota_window_s: float
+    quota_over: float
+    quota_slack: float
+    cold_over: float
+    cold_slack: float
+    drain_s: float
+
+
+@frozen
+class Settings:
+    """All settings of one daemon.
+
+    Parameters
+    ----------
+    vm, failure_domain, region, ip : str
+    region_of : dict of str to str
+        By failure domain, for the whole deployment.
+    listen : Addresses
+    datagram_port : int
+        UDP port for heartbeats, the same on all VMs.
+    seeds : tuple of str
+        ``IP:PORT`` of a few VMs, which may be gone.
+    store : str
+        ``IP:PORT`` of the platform's object store.
+    bounds : Bounds
+    """
+
+    vm: str
+    failure_domain: str
+    region: str
+    ip: str
+    region_of: dict[str, str]
+    listen: Addresses
+    datagram_port: int
+    seeds: tuple[str, ...]
+    store: str
+    bounds: Bounds
+
+
+def load_settings(path: str) -> Settings:
+    """Read and check a settings file, or raise `SettingsError`."""
+    parser = configparser.ConfigParser(interpolation=None)
+    parser.optionxform = str
+    try:
+        parser.read_string(Path(path).read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError, configparser.Error) as error:
+        raise SettingsError(f"{path}: {error}") from error
+    return _Reader(path, parser).settings()
+
+
+class _Reader:
+    def __init__(self, path: str, parser: configparser.ConfigParser):
+        self.path = path
+        self.parser = parser
+
+    def settings(self) -> Settings:
+        region_of = dict(self._section("failure_domains"))
+        failure_domain = self._text("vm", "failure_domain")
+        if failure_domain not in region_of:
+            raise self._fault(
+                "vm", "failure_domain", f"{failure_domain!r} is not a failure domain"
+            )
+        return Settings(
+            vm=self._text("vm", "name"),
+            failure_domain=failure_domain,
+            region=self._text("vm", "region"),
+            ip=self._text("vm", "ip"),
+            region_of=region_of,
+            listen=self._addresses(),
+            datagram_port=self._int("peers", "datagram_port"),
+            seeds=self._list("peers", "seeds"),
+            store=self._text("store", "address"),
+            bounds=self._bounds(),
+        )
+
+    def _addresses(self) -> Addresses:
+        return Addresses(
+            callers=self._address("callers"),
+            ready=self._address("ready"),
+            lookup=self._address("lookup"),
+            control=self._address("control"),
+            metrics=self._address("metrics"),
+        )
+
+    def _bounds(self) -> Bounds:
+        return Bounds(
+            stop_within_s=self._duration("bounds", "stop_within"),
+            longest_ttl_s=self._duration("bounds", "longest_ttl"),
+            retry_ratio=self._number("bounds", "retry_ratio"),
+            retry_slack=self._number("bounds", "retry_slack"),
+            retry_window_s=self._duration("bounds", "retry_window"),
+            quota_window_s=self._duration("bounds", "quota_window"),
+            quota_over=self._number("bounds", "quota_over"),
+            quota_slack=self._number("bounds", "quota_slack"),
+            cold_over=self._number("bounds", "cold_over"),
+            cold_slack=self._number("bounds", "cold_slack"),
+            drain_s=self._duration("bounds", "drain"),
+        )
+
+    def _section(self, section: str):
+        if not self.parser.has_section(section):
+            raise SettingsError(f"{self.path}: section [{section}] is missing")
+        return self.parser[section]
+
+    def _text(self, section: str, option: str) -> str:
+        text = self._section(section).get(option, "").strip()
+        if not text:
+            raise self._fault(section, option, "is missing")
+        return text
+
+    def _address(self, option: str) -> str:
+        text = self._section("listen").get(option, "").strip()
+        host, _, port = text.rpartition(":")
+        if text and not (host and port.isdigit()):
+            raise self._fault("listen", option, f"{text!r} must be IP:PORT")
+        return text
+
+    def _list(self, section: str, option: str) -> tuple[str, ...]:
+        text = self._section(section).get(option, "")
+        return tuple(part.strip() for part in text.split(",") if part.strip())
+
+    def _int(self, section: str, option: str) -> int:
+        return int(self._number(section, option))
+
+    def _number(self, section: str, option: str) -> float:
+        text = self._text(section, option)
+        try:
+            return float(text)
+        except ValueError as error:
+            raise self._fault(section, option, f"{text!r} is no number") from error
+
+    def _duration(self, section: str, option: str) -> float:
+        try:
+            return parse_duration(self._text(section, option))
+        except ValueError as error:
+            raise self._fault(section, option, str(error)) from error
+
+    def _fault(self, section: str, option: str, problem: str) -> SettingsError:
+        return SettingsError(f"{self.path}: [{section}] {option}: {problem}")
--- a/packages/http/plantainshed_http/client.py
+++ b/packages/http/plantainshed_http/client.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import select
+import socket
 from collections.abc import AsyncIterator
 
 import h11
@@ -11,6 +12,10 @@
 from .messages import MAX_HEAD_BYTES, READ_BYTES, Headers, ResponseHead
 
 SOCKET_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError)
+# A dead connection is noticed after about 3 s, the kernel's finest steps.
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
 
 
 class ClientConnection:
@@ -34,6 +39,7 @@
         self.h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self.touched = False
         self.unsent = b""
+        self.method = "GET"
 
     @classmethod
     async def open(cls, address: str, timeout_s: float) -> "ClientConnection":
@@ -44,6 +50,7 @@
                 stream = await trio.open_tcp_stream(host.strip("[]"), int(port))
         except (OSError, trio.TooSlowError) as error:
             raise ConnectFailed(f"{address}: {error or 'timed out'}") from error
+        notice_dead_peer(stream)
         return cls(stream, address)
 
     async def send_head(self, method: str, target: str, headers: Headers):
@@ -51,12 +58,17 @@
         if self.h11.our_state is h11.DONE:
             self.h11.start_next_cycle()
         self.touched = False
+        self.method = method
         self._add(h11.Request(method=method, target=target, headers=headers))
 
     async def send_body(self, chunk: bytes):
         """Send a piece of the body."""
         await self._send(h11.Data(data=chunk))
 
+    def add_body(self, chunk: bytes):
+        """Add a piece of the body that leaves with what follows."""
+        self._add(h11.Data(data=chunk))
+
     async def end_request(self):
         """End the request."""
         await self._send(h11.EndOfMessage())
@@ -82,6 +94,22 @@
             else:
                 raise ConnectionBroken(f"{self.address} closed in the middle")
 
+    def skip_response(self):
+        """Expect another response to the same request.
+
+        A server may send an answer twice, or late, where the next one is due.
+        Call it after that answer has been read to its end; what follows on the
+        connection is read as the answer that is still missing.
+        """
+        at_hand, _ = self.h11.trailing_data
+        self.h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+        headers = [(b"host", self.address.encode())]
+        # Only the method matters for where a response ends; nothing is sent.
+        self.h11.send(h11.Request(method=self.method, target="/", headers=headers))
+        self.h11.send(h11.EndOfMessage())
+        if at_hand:
+            self.h11.receive_data(at_hand)
+
     @property
     def has_more_at_hand(self) -> bool:
         """Whether more of the response has already arrived."""
@@ -157,6 +185,18 @@
             self.h11.receive_data(data)
 
 
+def notice_dead_peer(stream: trio.SocketStream):
+    """Let the kernel end a connection whose other side has gone silent.
+
+    A partition or a lost machine sends nothing; without probes a reader would
+    wait for as long as its own time-out, and a waiting watch for many seconds.
+    """
+    stream.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+
+
 def is_readable(sock) -> bool:
     """Tell, without waiting, whether a socket has bytes, an end or an error."""
     descriptor = sock.fileno()
--- a/packages/http/plantainshed_http/server.py
+++ b/packages/http/plantainshed_http/server.py
@@ -30,12 +30,36 @@
 SOCKET_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError)
 
 
+@define
+class ConnectionLimits:
+    """What callers' connections are held to; may change while they are open.
+
+    Parameters
+    ----------
+    head_timeout_s : float
+        Longest time from the first byte of a head to its last.
+    idle_timeout_s : float
+        Longest pause between exchanges, and between pieces of a body.
+    """
+
+    head_timeout_s: float = HEAD_TIMEOUT_S
+    idle_timeout_s: float = IDLE_TIMEOUT_S
+
+
 @define
 class Stopping:
-    """Tells connections that no further exchange is to begin."""
+    """Tells connections that no further exchange is to begin.
+
+    Attributes
+    ----------
+    is_announced : bool
+        Whether answers say that their connection closes, so that callers go
+        elsewhere while new connections are still taken.
+    """
 
     event: trio.Event = field(factory=trio.Event)
     idle_scopes: set[trio.CancelScope] = field(factory=set)
+    is_announced: bool = False
 
     @property
     def is_set(self) -> bool:
@@ -54,12 +78,13 @@
     handler: Handler,
     listeners: list[trio.SocketListener],
     stopping: Stopping,
-    idle_timeout_s: float = IDLE_TIMEOUT_S,
+    limits: ConnectionLimits | None = None,
 ):
     """Serve connections until stopped and all exchanges have ended."""
+    limits = limits or ConnectionLimits()
 
     async def serve(stream):
-        await _Connection(stream, handler, stopping, idle_timeout_s).run()
+        await _Connection(stream, handler, stopping, limits).run()
 
     async with trio.open_nursery() as connections:
         async with trio.open_nursery() as accepting:
@@ -148,11 +173,11 @@
 
 
 class _Connection:
-    def __init__(self, stream, handler, stopping, idle_timeout_s):
+    def __init__(self, stream, handler, stopping, limits):
         self.stream = stream
         self.handler = handler
         self.stopping = stopping
-        self.idle_timeout_s = idle_timeout_s
+        self.limits = limits
         self.unsent = b""
         self.h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
         self.caller = _peer_address(stream)
@@ -199,7 +224,7 @@
             if not await self._wait_while_idle():
                 return None
             event = self._parse()
-        with trio.move_on_after(HEAD_TIMEOUT_S) as scope:
+        with trio.move_on_after(self.limits.head_timeout_s) as scope:
             while event is h11.NEED_DATA:
                 await self._receive()
                 event = self._parse()
@@ -216,7 +241,9 @@
 
     async def _wait_while_idle(self) -> bool:
         """Wait for the first bytes of a request; False ends the connection."""
-        patience_s = STOP_GRACE_S if self.stopping.is_set else self.idle_timeout_s
+        patience_s = (
+            STOP_GRACE_S if self.stopping.is_set else self.limits.idle_timeout_s
+        )
         with trio.move_on_after(patience_s) as scope:
             self.stopping.idle_scopes.add(scope)
             try:
@@ -235,7 +262,7 @@
         while self.h11.their_state is h11.SEND_BODY:
             event = self._parse()
             if event is h11.NEED_DATA:
-                with trio.move_on_after(self.idle_timeout_s) as scope:
+                with trio.move_on_after(self.limits.idle_timeout_s) as scope:
                     await self._receive()
                 if scope.cancelled_caught:
                     raise BadMessage(408, "the body took too long to arrive")
@@ -260,7 +287,8 @@
         scope.cancel()
 
     def begin_answer(self, status: int, headers: Headers):
-        if self.stopping.is_set or self.h11.their_state is not h11.DONE:
+        closes = self.stopping.is_set or self.stopping.is_announced
+        if closes or self.h11.their_state is not h11.DONE:
             headers = [*headers, (b"connection", b"close")]
         response = h11.Response(status_code=status, headers=headers)
         self.unsent += self.h11.send(response)
