Lend tokens of a quota between VMs, and count quotas in windows

Causes: a quota counts its burst in each window, which a bucket filled at the rate alone never gave; a small workspace's requests clumped on one VM while its tokens lay at others; a target known from the start had an infinite ramp age, so after all VMs were killed each request met an OverflowError.

Ruled out: shares of unequal size (sums of shares were 1 within 1 %).

--- a/packages/gateway/plantainshed_gateway/admission.py
+++ b/packages/gateway/plantainshed_gateway/admission.py
@@ -6,6 +6,7 @@
 
 from .call import Call
 from .errors import BadRequest, Refusal
+from .loans import Loans
 from .model import Configuration, Route, Workspace
 from .ports import CallerRequest, Wire
 from .quota import Quotas
@@ -25,13 +26,14 @@
         In force here; None before the first is known.
     """
 
-    def __init__(self, wire: Wire, quotas: Quotas):
+    def __init__(self, wire: Wire, quotas: Quotas, loans: Loans):
         self.wire = wire
         self.quotas = quotas
+        self.loans = loans
         self.splitter = Splitter()
         self.configuration: Configuration | None = None
 
-    def admit(self, head: RequestHead, body: bytes, began_at: float) -> Call:
+    async def admit(self, head: RequestHead, body: bytes, began_at: float) -> Call:
         """Return the request as a call, or raise `Refusal`."""
         configuration = self._known_configuration()
         request = self._read(head)
@@ -57,7 +59,7 @@
             pool=self.splitter.choose(route, object_key),
             began_at=began_at,
         )
-        self._take_quota(call)
+        await self._take_quota(call)
         return call
 
     def _known_configuration(self) -> Configuration:
@@ -79,10 +81,12 @@
                 HTTPStatus.BAD_REQUEST, Reason.BAD_REQUEST, str(error)
             ) from error
 
-    def _take_quota(self, call: Call):
+    async def _take_quota(self, call: Call):
         if call.workspace is None:
             return
         wait_s = self.quotas.admit(call.workspace)
+        if wait_s is not None and await self.loans.borrow(call.workspace):
+            wait_s = self.quotas.take(call.workspace)
         if wait_s is not None:
             raise Refusal(
                 HTTPStatus.TOO_MANY_REQUESTS,
--- a/packages/gateway/plantainshed_gateway/gateway.py
+++ b/packages/gateway/plantainshed_gateway/gateway.py
@@ -10,8 +10,10 @@
 from .cold import ColdTargets
 from .connections import TargetConnections
 from .context import Context
+from .datagrams import Message, TokenAsk, TokenLoan
 from .errors import BadItem, BadRequest, ItemExists, StoreUnavailable
 from .forwarding import Forwarder
+from .loans import Loans
 from .lookup import LookupTable
 from .members import Heartbeat, Members, VmState
 from .peers import Peers, fetch_state
@@ -58,7 +60,8 @@
         self.retries = RetryBudgets(settings.bounds)
         self.cold = ColdTargets(settings.bounds, settings.vm)
         self.connections = TargetConnections()
-        self.admission = Admission(surroundings.wire, self.quotas)
+        self.loans = Loans(self.quotas, self.members, self._send)
+        self.admission = Admission(surroundings.wire, self.quotas, self.loans)
         self.placement = Placement(self.registry, self.cold)
         self.forwarder = Forwarder(surroundings.wire, self.connections, context.metrics)
         self.serving = Serving(
@@ -81,7 +84,7 @@
             settings.ip,
             settings.datagram_port,
             self._make_heartbeat,
-            self._on_heartbeat,
+            self._on_message,
             context.log,
         )
         self.peers.seeds = _ips(settings.seeds)
@@ -107,7 +110,7 @@
             for follower in self.followers.values():
                 nursery.start_soon(follower.run)
             nursery.start_soon(self.peers.send_heartbeats)
-            nursery.start_soon(self.peers.receive_heartbeats)
+            nursery.start_soon(self.peers.receive)
             nursery.start_soon(self._know_vms)
             nursery.start_soon(self._upkeep)
 
@@ -249,6 +252,17 @@
         }
         return self._own_heartbeat(newest, self.quotas.use())
 
+    async def _send(self, message: Message, ip: str):
+        await self.peers.send(message, ip)
+
+    async def _on_message(self, message: Message, ip: str):
+        if isinstance(message, TokenAsk):
+            await self.loans.on_ask(message, ip)
+        elif isinstance(message, TokenLoan):
+            self.loans.on_loan(message)
+        elif self.members.take(message, ip):
+            self._on_heartbeat(message)
+
     def _on_heartbeat(self, heartbeat: Heartbeat):
         for name, newest in heartbeat.newest.items():
             follower = self.followers.get(name)
--- /dev/null
+++ b/packages/gateway/plantainshed_gateway/loans.py
@@ -0,0 +1,97 @@
+"""Borrowing tokens of a workspace's quota from another VM.
+
+Load that it answers: a small workspace's requests clump on one VM while the
+tokens of its quota lie at others. The lender takes tokens from its bucket
+before it answers, so a lost message loses tokens and never makes any.
+"""
+
+import itertools
+from collections.abc import Callable
+
+import trio
+
+from .datagrams import TokenAsk, TokenLoan
+from .members import Members
+from .model import Workspace
+from .quota import Quotas
+
+# Longest wait for a loan: a round trip between regions takes 24 ms.
+LOAN_TIMEOUT_S = 0.06
+# VMs that are asked one after the other.
+LENDERS_ASKED = 2
+# Pause after nobody lent. A workspace far over its quota would otherwise cost
+# a round trip for each of its requests.
+REFUSED_PAUSE_S = 0.25
+# Tokens that a lender keeps for its own callers, and the most it gives.
+KEPT_TOKENS = 1.0
+MOST_LENT = 3.0
+
+Send = Callable[[object, str], object]
+
+
+class Loans:
+    """Asks other VMs for tokens, and lends own ones.
+
+    Parameters
+    ----------
+    quotas : Quotas
+    members : Members
+    send : callable
+        Sends a message to an IP address.
+    """
+
+    def __init__(self, quotas: Quotas, members: Members, send: Send):
+        self.quotas = quotas
+        self.members = members
+        self.send = send
+        self._numbers = itertools.count(1)
+        self._waiting: dict[int, tuple[trio.Event, list[float]]] = {}
+        self._not_before: dict[str, float] = {}
+
+    async def borrow(self, workspace: Workspace) -> bool:
+        """Add borrowed tokens to this VM's bucket; tell whether there are any."""
+        name = workspace.name
+        if trio.current_time() < self._not_before.get(name, 0.0):
+            return False
+        for ip in self._lenders(name):
+            tokens = await self._ask(ip, name)
+            if tokens > 0:
+                self.quotas.add(name, tokens)
+                return True
+        self._not_before[name] = trio.current_time() + REFUSED_PAUSE_S
+        return False
+
+    def _lenders(self, name: str) -> list[str]:
+        """Return where to ask: near VMs first, then those with most tokens."""
+        own_region = self.members.own.region
+        holders = []
+        for member in self.members.table.values():
+            beat = member.heartbeat
+            use = beat.use.get(name) if beat and member.is_alive else None
+            if use is not None and use.level >= KEPT_TOKENS + 1.0:
+                holders.append((beat.region != own_region, -use.level, member.ip))
+        return [ip for _, _, ip in sorted(holders)[:LENDERS_ASKED]]
+
+    async def _ask(self, ip: str, name: str) -> float:
+        number = next(self._numbers)
+        answered, tokens = trio.Event(), []
+        self._waiting[number] = answered, tokens
+        try:
+            await self.send(TokenAsk(self.members.own.vm, number, name), ip)
+            with trio.move_on_after(LOAN_TIMEOUT_S):
+                await answered.wait()
+        finally:
+            del self._waiting[number]
+        return sum(tokens)
+
+    async def on_ask(self, ask: TokenAsk, ip: str):
+        """Answer another VM's question."""
+        tokens = self.quotas.take_for_loan(ask.workspace, KEPT_TOKENS, MOST_LENT)
+        await self.send(TokenLoan(ask.number, tokens), ip)
+
+    def on_loan(self, loan: TokenLoan):
+        """Take in an answer; one that comes too late is worth nothing."""
+        if loan.number in self._waiting:
+            answered, tokens = self._waiting[loan.number]
+            tokens.append(max(0.0, min(MOST_LENT, loan.tokens)))
+            answered.set()
--- a/packages/gateway/plantainshed_gateway/members.py
+++ b/packages/gateway/plantainshed_gateway/members.py
@@ -7,8 +7,6 @@
 
 from enum import StrEnum
 
-import cattrs
-import orjson
 import trio
 from attrs import define, field, frozen
 
@@ -43,10 +41,13 @@
         Requests a second that its callers ask for.
     share : float
         Part of the quota that it allows itself, from 0 to 1.
+    level : float
+        Tokens that it has at hand.
     """
 
     demand: float
     share: float
+    level: float = 0.0
 
 
 @frozen
@@ -85,24 +86,6 @@
     use: dict[str, Use] = field(factory=dict)
     poison: tuple[str, ...] = ()
 
-    def to_bytes(self) -> bytes:
-        """Encode for a datagram."""
-        return orjson.dumps(_CONVERTER.unstructure(self))
-
-    @classmethod
-    def from_bytes(cls, data: bytes) -> "Heartbeat":
-        """Decode, or raise `ValueError`."""
-        try:
-            return _CONVERTER.structure(orjson.loads(data), cls)
-        except (cattrs.BaseValidationError, TypeError, KeyError) as error:
-            raise ValueError(f"not a heartbeat: {error!r}") from error
-
-
-# Positions instead of names: between regions each byte has its price.
-_CONVERTER = cattrs.Converter(
-    unstruct_strat=cattrs.UnstructureStrategy.AS_TUPLE, detailed_validation=False
-)
-
 
 @define
 class Member:
--- a/packages/gateway/plantainshed_gateway/peers.py
+++ b/packages/gateway/plantainshed_gateway/peers.py
@@ -6,7 +6,7 @@
 
 import contextlib
 import itertools
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import orjson
 import trio
@@ -15,6 +15,7 @@
 from plantainshed_http.errors import HttpError
 from plantainshed_http.server import Exchange
 
+from .datagrams import Message, decode, encode
 from .errors import StoreUnavailable
 from .logs import DecisionLog
 from .members import FAR_EVERY, HEARTBEAT_S, MAX_DATAGRAM_BYTES, Heartbeat, Members
@@ -37,8 +38,8 @@
         The same on all VMs.
     make_heartbeat : callable
         Returns what this VM says of itself now.
-    on_heartbeat : callable
-        Called with each new heartbeat.
+    on_message : callable
+        Awaited with each message and the IP address that it came from.
     log : DecisionLog
     """
 
@@ -48,20 +49,18 @@
         ip: str,
         port: int,
         make_heartbeat: Callable[[], Heartbeat],
-        on_heartbeat: Callable[[Heartbeat], None],
+        on_message: Callable[[Message, str], Awaitable[None]],
         log: DecisionLog,
     ):
         self.members = members
         self.ip = ip
         self.port = port
         self.make_heartbeat = make_heartbeat
-        self.on_heartbeat = on_heartbeat
+        self.on_message = on_message
         self.log = log
         self.seeds: set[str] = set()
-        self.is_paused = False
         self._alive: set[str] = set()
         self._socket: trio.socket.SocketType | None = None
-        self._malformed = 0
 
     @contextlib.asynccontextmanager
     async def open(self):
@@ -81,22 +80,23 @@
     async def send_now(self, to_far: bool = True):
         """Send one heartbeat to every other VM, or only to those nearby."""
         self.members.own = self.make_heartbeat()
-        data = self.members.own.to_bytes()
         ips = self.members.ips(to_far)
         if to_far and len(self.members.alive()) == 1:
             # Whoever knows nobody yet asks the VMs that the settings name.
             ips |= self.seeds
-        for ip in ips:
-            if ip == self.ip:
-                continue
-            try:
-                await self._socket.sendto(data, (ip, self.port))
-            except OSError as error:
-                # No route or no listener; the next one may get through.
-                self.log.event("heartbeat not sent", to=ip, problem=str(error))
-
-    async def receive_heartbeats(self):
-        """Take in heartbeats until cancelled."""
+        for ip in ips - {self.ip}:
+            await self.send(self.members.own, ip)
+
+    async def send(self, message: Message, ip: str):
+        """Send one message; it may be lost."""
+        try:
+            await self._socket.sendto(encode(message), (ip, self.port))
+        except OSError as error:
+            # No route or no listener; the next one may get through.
+            self.log.event("datagram not sent", to=ip, problem=str(error))
+
+    async def receive(self):
+        """Take in messages until cancelled."""
         while True:
             try:
                 data, (ip, _) = await self._socket.recvfrom(MAX_DATAGRAM_BYTES)
@@ -105,12 +105,11 @@
                 self.log.event("datagram refused", problem=str(error))
                 continue
             try:
-                heartbeat = Heartbeat.from_bytes(data)
+                message = decode(data)
             except ValueError as error:
                 self.log.event("datagram not understood", ip=ip, problem=str(error))
                 continue
-            if self.members.take(heartbeat, ip):
-                self.on_heartbeat(heartbeat)
+            await self.on_message(message, ip)
 
     def _log_changes(self):
         alive = {beat.vm for beat in self.members.alive()}
--- a/packages/gateway/plantainshed_gateway/quota.py
+++ b/packages/gateway/plantainshed_gateway/quota.py
@@ -3,12 +3,16 @@
 Load that it answers: one workspace sends several times its rate, unevenly over
 VMs, while others stay within theirs and must not be refused.
 
-Each VM runs a token bucket with a share of the rate and burst. Shares follow
-demand: every VM announces what its callers ask for, and all compute the same
-division of it. The part of a VM that is not heard stays with it, because it
-may live behind a partition and still use it; so the shares that are in use
-never sum to more than one for longer than a heartbeat takes. What passes over
-in that time lies within the tolerance of the quota.
+A quota is counted in windows: in one of `quota_window_s` seconds a workspace
+may send its rate for that long plus its burst, and so in each next one. Each VM
+runs a token bucket that is filled with a share of that, and holds at most a
+share of the tolerance above it; so no window sees more than both together.
+
+Shares follow demand: every VM announces what its callers ask for, and all
+compute the same division of it. The part of a VM that is not heard stays with
+it, because it may live behind a partition and still use it; so the shares that
+are in use sum to more than one only for as long as a heartbeat takes, and what
+passes over then lies within the unused part of the tolerance.
 """
 
 import trio
@@ -24,14 +28,13 @@
 # Part of a quota that is divided evenly, whatever the demand is: a VM whose
 # callers begin to send gets this at once.
 EVEN_PART = 0.15
-# Used part of the fixed number by which a quota may be exceeded. It lets a
-# small workspace's requests come in clumps: with 6 requests a second over 12
-# VMs, a bucket of its burst alone holds one token, and a calm day refused 3.9 %
-# of all requests that were within their quota.
-USED_SLACK = 0.6
-# Of its burst, what a VM that has just started has at hand. The run before it
-# may have used the whole a moment ago.
-FIRST_LEVEL = 0.2
+# Used part of the tolerance, as the most tokens at hand on all VMs together.
+# Small workspaces' requests come in clumps: with 6 requests a second over 12
+# VMs, a bucket of one token refused 3.9 % of requests within their quota.
+USED_TOLERANCE = 0.7
+# Of that, what a VM that has just started has at hand. The run before it may
+# have used the whole a moment ago.
+FIRST_LEVEL = 0.3
 # Longest time that a refused caller is told to stay away.
 LONGEST_RETRY_AFTER_S = 2.0
 LEAST_RETRY_AFTER_S = 0.1
@@ -58,26 +61,35 @@
 
 @define
 class Bucket:
-    """This VM's part of one quota."""
+    """This VM's part of one quota.
+
+    Attributes
+    ----------
+    rate : float
+        Requests a second of the whole quota, its burst spread over a window.
+    most : float
+        Most tokens at hand on all VMs together.
+    share : float
+        Of this VM, from 0 to 1.
+    """
 
     rate: float
-    burst: float
+    most: float
     share: float
     level: float
-    slack: float = 0.0
     filled_at: float = field(factory=trio.current_time)
 
     def fill(self):
         """Bring the level up to now."""
         now = trio.current_time()
         grown = self.level + (now - self.filled_at) * self.rate * self.share
-        self.level = min(grown, self.capacity)
+        self.level = min(grown, max(self.level, self.capacity))
         self.filled_at = now
 
     @property
     def capacity(self) -> float:
-        """Most tokens at hand: its part of the burst and of the slack."""
-        return max(1.0, self.burst * self.share + self.slack)
+        """Most tokens at hand here."""
+        return max(1.0, self.most * self.share)
 
 
 class Quotas:
@@ -94,6 +106,10 @@
         if workspace.rate_per_s <= 0:
             return None
         self.demands.setdefault(workspace.name, Demand()).add()
+        return self.take(workspace)
+
+    def take(self, workspace: Workspace) -> float | None:
+        """Take a token; return None, or the seconds until there is one."""
         bucket = self._bucket(workspace)
         bucket.fill()
         if bucket.level >= 1.0:
@@ -102,6 +118,20 @@
         missing_s = (1.0 - bucket.level) / max(bucket.rate * bucket.share, 0.01)
         return min(LONGEST_RETRY_AFTER_S, max(LEAST_RETRY_AFTER_S, missing_s))
 
+    def add(self, name: str, tokens: float):
+        """Add borrowed tokens; they may exceed what this VM holds itself."""
+        self.buckets[name].level += tokens
+
+    def take_for_loan(self, name: str, kept: float, most: float) -> float:
+        """Take tokens that this VM can spare; return how many."""
+        bucket = self.buckets.get(name)
+        if bucket is None:
+            return 0.0
+        bucket.fill()
+        tokens = float(int(min(most, max(0.0, bucket.level - kept))))
+        bucket.level -= tokens
+        return tokens
+
     def give_back(self, workspace: Workspace):
         """Return the token of a request that certainly did not run."""
         bucket = self.buckets.get(workspace.name)
@@ -109,21 +139,28 @@
             bucket.level = min(bucket.level + 1.0, bucket.capacity)
 
     def _bucket(self, workspace: Workspace) -> Bucket:
+        rate, most = self._size_of(workspace)
         bucket = self.buckets.get(workspace.name)
         if bucket is None:
             share = 1.0 / self.members.count
-            level = max(1.0, workspace.burst * share * FIRST_LEVEL)
-            bucket = Bucket(workspace.rate_per_s, workspace.burst, share, level)
+            level = max(1.0, most * share * FIRST_LEVEL)
+            bucket = Bucket(rate, most, share, level)
             self.buckets[workspace.name] = bucket
-        bucket.rate, bucket.burst = workspace.rate_per_s, workspace.burst
+        bucket.rate, bucket.most = rate, most
         return bucket
 
+    def _size_of(self, workspace: Workspace) -> tuple[float, float]:
+        """Return the rate of a workspace's bucket and the most it may hold."""
+        window_s = self.bounds.quota_window_s
+        in_window = workspace.rate_per_s * window_s + workspace.burst
+        tolerance = in_window * self.bounds.quota_over + self.bounds.quota_slack
+        return in_window / window_s, tolerance * USED_TOLERANCE
+
     def divide(self):
         """Compute this VM's share of each quota anew."""
         alive = self.members.alive()[1:]
         silent = self.members.silent()
         for name, bucket in self.buckets.items():
-            bucket.slack = USED_SLACK * self.bounds.quota_slack / self.members.count
             bucket.fill()
             bucket.share = self._share(name, alive, silent)
 
@@ -143,7 +180,11 @@
     def use(self) -> dict[str, Use]:
         """Return what this VM tells others."""
         return {
-            name: Use(round(self.demands[name].rate, 2), round(bucket.share, 4))
+            name: Use(
+                round(self.demands[name].rate, 2),
+                round(bucket.share, 4),
+                round(bucket.level, 1),
+            )
             for name, bucket in self.buckets.items()
             if self.demands[name].rate > 0.01 or bucket.share > 0.0
         }
--- a/packages/gateway/plantainshed_gateway/registry.py
+++ b/packages/gateway/plantainshed_gateway/registry.py
@@ -76,9 +76,8 @@
     @property
     def weight(self) -> float:
         """Its share of objects beside other targets, from 0.1 to 1."""
-        ramped = (trio.current_time() - self.ramp_from) / RAMP_S
-        steps = 1 + int(max(0.0, ramped) * RAMP_STEPS)
-        return min(1.0, steps / RAMP_STEPS)
+        ramped = min(1.0, (trio.current_time() - self.ramp_from) / RAMP_S)
+        return min(1.0, (1 + int(ramped * RAMP_STEPS)) / RAMP_STEPS)
 
     @property
     def occupancy(self) -> float:
--- a/packages/gateway/plantainshed_gateway/serving.py
+++ b/packages/gateway/plantainshed_gateway/serving.py
@@ -73,7 +73,7 @@
         call = None
         try:
             body = await self._read_body(exchange)
-            call = self.admission.admit(exchange.request, body, began_at)
+            call = await self.admission.admit(exchange.request, body, began_at)
             self.retries.note_request(call.pool)
             await self._run(exchange, call)
         except Refusal as refusal:
