--- /dev/null
+++ b/tests/platform/target_standin.py
@@ -0,0 +1,145 @@
+"""A small stand-in of a target (back end), after the published protocol."""
+
+import contextlib
+
+import h11
+import trio
+from attrs import define, field
+
+SOCKET_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError)
+
+
+@define
+class Run:
+    """One request that the target began to run."""
+
+    request_id: str
+    headers: dict[str, str]
+    body: bytes
+    path: str
+
+
+@define
+class TargetStandin:
+    """Runs requests, sheds, and spoils answers when told to.
+
+    Attributes
+    ----------
+    instance : str
+    slots : int
+        More requests at once are shed, said not to have run.
+    takes_s : float
+        How long a run takes.
+    spoils : list of str
+        How the next answers go wrong: ``unsigned``, ``encoded``, ``truncated``,
+        ``reset``, ``extra`` (another request's answer first), ``after`` (bytes
+        after the end), ``fails`` (500), ``garbage``.
+    runs : list of Run
+    """
+
+    instance: str
+    slots: int = 4
+    takes_s: float = 0.0
+    spoils: list[str] = field(factory=list)
+    body: bytes = b"the target's bytes"
+    runs: list[Run] = field(factory=list)
+    running: int = 0
+    connections: int = 0
+    address: str = ""
+
+    async def serve_connection(self, stream):
+        """Serve one connection until it ends."""
+        self.connections += 1
+        connection = h11.Connection(h11.SERVER)
+        with contextlib.suppress(*SOCKET_ERRORS, h11.RemoteProtocolError):
+            while await self._serve_one(stream, connection):
+                connection.start_next_cycle()
+        await trio.aclose_forcefully(stream)
+
+    async def _serve_one(self, stream, connection) -> bool:
+        request, body = await _read_request(stream, connection)
+        if request is None:
+            return False
+        headers = {k.decode(): v.decode() for k, v in request.headers}
+        path = request.target.decode()
+        if headers.get("expect-instance") not in (None, self.instance):
+            await self._reply(stream, connection, 421, headers, b"")
+            return True
+        if self.running >= self.slots:
+            more = [("Not-Executed", "1")]
+            await self._reply(stream, connection, 503, headers, b"", more)
+            return True
+        self.runs.append(Run(headers.get("request-id", ""), headers, body, path))
+        self.running += 1
+        try:
+            await trio.sleep(self.takes_s)
+        finally:
+            self.running -= 1
+        return await self._answer(stream, connection, headers)
+
+    async def _answer(self, stream, connection, headers) -> bool:
+        how = self.spoils.pop(0) if self.spoils else ""
+        seal = [("Server-Seal", f"seal-{self.instance}")]
+        if how == "reset":
+            stream.setsockopt(
+                trio.socket.SOL_SOCKET, trio.socket.SO_LINGER, b"\1\0\0\0" + b"\0" * 4
+            )
+            return False
+        if how == "garbage":
+            await stream.send_all(b"\x00\x01 what is this\r\n\r\n")
+            return False
+        if how == "truncated":
+            head = f"HTTP/1.1 200 OK\r\nRequest-Id: {headers['request-id']}\r\n"
+            head += "Server-Seal: s\r\nContent-Length: 900\r\n\r\nonly a part"
+            await stream.send_all(head.encode())
+            return False
+        if how == "extra":
+            head = "HTTP/1.1 200 OK\r\nRequest-Id: another\r\nServer-Seal: s\r\n"
+            await stream.send_all((head + "Content-Length: 5\r\n\r\nwrong").encode())
+        if how == "encoded":
+            seal.append(("Content-Encoding", "gzip"))
+        if how == "unsigned":
+            seal = []
+        status = 500 if how == "fails" else 200
+        await self._reply(stream, connection, status, headers, self.body, seal)
+        if how == "after":
+            await stream.send_all(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad")
+        return True
+
+    async def _reply(self, stream, connection, status, headers, body, more=()):
+        sent = [("Content-Length", str(len(body))), ("Instance-Id", self.instance)]
+        if "request-id" in headers:
+            sent.append(("Request-Id", headers["request-id"]))
+        response = h11.Response(status_code=status, headers=[*sent, *more])
+        data = connection.send(response)
+        data += connection.send(h11.Data(data=body)) or b""
+        data += connection.send(h11.EndOfMessage())
+        await stream.send_all(data)
+
+
+async def _read_request(stream, connection):
+    request, parts = None, []
+    while True:
+        event = connection.next_event()
+        if event is h11.NEED_DATA:
+            connection.receive_data(await stream.receive_some(65536))
+        elif isinstance(event, h11.Request):
+            request = event
+        elif isinstance(event, h11.Data):
+            parts.append(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage):
+            return request, b"".join(parts)
+        else:
+            return None, b""
+
+
+@contextlib.asynccontextmanager
+async def running_target(target: TargetStandin):
+    """Serve the stand-in on loopback; sets and yields its address."""
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    port = listeners[0].socket.getsockname()[1]
+    target.address = f"127.0.0.1:{port}"
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(trio.serve_listeners, target.serve_connection, listeners)
+        yield target.address
+        nursery.cancel_scope.cancel()
