--- a/packages/gateway/plantainshed_gateway/call.py
+++ b/packages/gateway/plantainshed_gateway/call.py
@@ -7,6 +7,7 @@
 
 from .model import Route, Workspace
 from .ports import CallerRequest
+from .registry import TargetState
 
 
 @define
@@ -34,6 +35,9 @@
         Whether some attempt ended without saying that it did not run.
     tried : list of str
         Instances that it was meant for, for the log.
+    load, load_age_s : float or None
+        Requests that were expected at the last of them when it was chosen, and
+        how old its own report was; None if it had none.
     mark : str
         Recognises the same request when it is sent again.
     """
@@ -49,8 +53,18 @@
     attempts: int = 0
     may_have_run: bool = False
     tried: list[str] = field(factory=list)
+    load: float | None = None
+    load_age_s: float | None = None
     mark: str = ""
 
+    def note_chosen(self, state: TargetState):
+        """Note a target that it goes to, and what was known of it."""
+        self.tried.append(state.entry.instance)
+        self.load = round(state.expected_load, 1)
+        self.load_age_s = None
+        if state.load is not None:
+            self.load_age_s = round(trio.current_time() - state.load_at, 2)
+
     @property
     def seconds_left(self) -> float:
         """Time until the caller or the route gives up."""
--- a/packages/gateway/plantainshed_gateway/serving.py
+++ b/packages/gateway/plantainshed_gateway/serving.py
@@ -151,7 +151,7 @@
             self._refuse_poison(call)
             state = self._choose(call, excluded)
             excluded.add(state.entry.instance)
-            call.tried.append(state.entry.instance)
+            call.note_chosen(state)
             failure = await self._attempt(exchange, call, state)
             if failure is None:
                 return
@@ -333,6 +333,8 @@
             problem=str(refusal),
             retry_after_s=refusal.retry_after_s,
             tried=call.tried if call else [],
+            load=call.load if call else None,
+            load_age_s=call.load_age_s if call else None,
             may_have_run=call.may_have_run if call else False,
             configuration=self._version,
             took_s=round(trio.current_time() - began_at, 4),
@@ -366,6 +368,8 @@
             reason=reason,
             object=call.request.affinity,
             tried=call.tried,
+            load=call.load,
+            load_age_s=call.load_age_s,
             configuration=self._version,
             took_s=round(took_s, 4),
             **more,
--- a/packages/http/plantainshed_http/client.py
+++ b/packages/http/plantainshed_http/client.py
@@ -171,17 +171,20 @@
                 raise ConnectionBroken(f"{self.address}: {error}") from error
 
     async def _next_event(self):
+        closed = False
         while True:
             try:
                 event = self.h11.next_event()
             except h11.RemoteProtocolError as error:
-                raise ConnectionBroken(f"{self.address}: {error}") from error
+                problem = "closed before its answer ended" if closed else str(error)
+                raise ConnectionBroken(f"{self.address}: {problem}") from error
             if event is not h11.NEED_DATA:
                 return event
             try:
                 data = await self.stream.receive_some(READ_BYTES)
             except SOCKET_ERRORS as error:
                 raise ConnectionBroken(f"{self.address}: {error}") from error
+            closed = data == b""
             self.h11.receive_data(data)
 
 
--- /dev/null
+++ b/tests/platform/test_daemon.py
@@ -0,0 +1,228 @@
+import contextlib
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+import orjson
+import trio
+
+from plantainshed_http.errors import HttpError
+from tests.platform.platform_support import HOST, KEY, configuration, entry, send
+from tests.platform.store_standin import StoreStandin, running_store
+from tests.platform.target_standin import TargetStandin, running_target
+from tests.support import on_real_clock
+
+TEMPLATE = Path(__file__).parents[2] / "deploy" / "gateway.ini"
+FIELDS = {
+    "nodeName": "edge-mil-a-1",
+    "zone": "mil-a",
+    "region": "lombardia",
+    "ip": "127.0.0.1",
+    "seeds": "",
+    "bounds.grace": "2s",
+    "bounds.ttl_max": "5s",
+    "bounds.retryBudgetRatio": "0.2",
+    "bounds.budgetSlack": "64",
+    "bounds.budgetWindow": "10s",
+    "bounds.quotaWindow": "5s",
+    "bounds.quotaOver": "0.1",
+    "bounds.quotaSlack": "20",
+    "bounds.coldOver": "1.5",
+    "bounds.coldSlack": "5",
+    "bounds.drain": "2000ms",
+}
+
+
+def filled_template(store: str, ports: list[int], **fields) -> str:
+    """Fill in the template as the platform does."""
+    text = TEMPLATE.read_text()
+    text = text.replace(
+        "{{#zones}}\n{{@}} = {{.}}\n{{/zones}}\n", "mil-a = lombardia\n"
+    )
+    values = {**FIELDS, "platform.addr": store, **fields}
+    for name, port in zip(
+        ("listen.front", "listen.ready", "listen.directory", "listen.control"),
+        ports,
+        strict=False,
+    ):
+        values[name] = f"127.0.0.1:{port}"
+    values["internalPortRange.0"] = str(ports[4])
+    for name, value in values.items():
+        text = text.replace("{{" + name + "}}", value)
+    return text.replace(":9464", f":{ports[5]}")
+
+
+async def free_ports(count: int) -> list[int]:
+    """Return ports that nobody listens on."""
+    listeners = [
+        (await trio.open_tcp_listeners(0, host="127.0.0.1"))[0] for _ in range(count)
+    ]
+    ports = [listener.socket.getsockname()[1] for listener in listeners]
+    for listener in listeners:
+        await listener.aclose()
+    return ports
+
+
+class Daemon:
+    """The program as a process of its own, against stand-ins."""
+
+    def __init__(self, process, settings: Path, ports: list[int], store, targets):
+        self.process = process
+        self.settings = settings
+        self.callers, self.ready, self.lookup = (f"127.0.0.1:{p}" for p in ports[:3])
+        self.metrics = f"127.0.0.1:{ports[5]}"
+        self.store = store
+        self.targets = targets
+        self.lines: list[dict] = []
+
+    async def read_lines(self):
+        rest = b""
+        async for data in self.process.stdout:
+            *whole, rest = (rest + data).split(b"\n")
+            self.lines.extend(orjson.loads(line) for line in whole)
+
+    async def ask(self, path="/read/1", method="GET"):
+        headers = {"host": HOST, "request-id": "r-1", "affinity-key": "7"}
+        headers["authorization"] = f"Bearer {KEY}"
+        return await send(self.callers, method, path, headers)
+
+    async def until_ready(self):
+        with trio.fail_after(20):
+            while True:
+                with contextlib.suppress(HttpError):
+                    status, _, _ = await send(
+                        self.ready, "GET", "/plantainshed/ready", {"host": "x"}
+                    )
+                    if status == 200:
+                        return
+                await trio.sleep(0.05)
+
+    async def until_line(self, message: str) -> dict:
+        with trio.fail_after(20):
+            while True:
+                for line in self.lines:
+                    if line["message"] == message:
+                        return line
+                await trio.sleep(0.02)
+
+
+@contextlib.asynccontextmanager
+async def running_daemon(reads_lines=True, **target_more):
+    store = StoreStandin()
+    target = TargetStandin("i-0", **target_more)
+    async with contextlib.AsyncExitStack() as stack:
+        folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
+        store_address = await stack.enter_async_context(running_store(store))
+        await stack.enter_async_context(running_target(target))
+        store.put("servers", "i-0", entry(target))
+        store.put("config", "main", configuration())
+        ports = await free_ports(6)
+        settings = folder / "gateway.ini"
+        settings.write_text(filled_template(store_address, ports))
+        process = await trio.lowlevel.open_process(
+            [sys.executable, "-m", "plantainshed_platform"],
+            env={**os.environ, "PLANTAINSHED_NODE_FILE": str(settings)},
+            stdout=subprocess.PIPE,
+        )
+        daemon = Daemon(process, settings, ports, store, [target])
+        try:
+            async with trio.open_nursery() as nursery:
+                if reads_lines:
+                    nursery.start_soon(daemon.read_lines)
+                await daemon.until_ready()
+                yield daemon
+                nursery.cancel_scope.cancel()
+        finally:
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
+
+
+class TestStop(unittest.TestCase):
+    @on_real_clock
+    async def test_stop_cuts_no_request(self):
+        """A VM is replaced while targets work on its callers' requests.
+
+        Readiness and look-ups leave it out at once; what runs is answered,
+        with a hint to go elsewhere; then the process ends by itself.
+        """
+        async with running_daemon(takes_s=0.6) as daemon:
+            answers = []
+
+            async def ask():
+                answers.append(await daemon.ask("/book/1", "POST"))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(ask)
+                while not daemon.targets[0].running:
+                    await trio.sleep(0.01)
+                daemon.process.send_signal(signal.SIGTERM)
+                await daemon.until_line("stop requested")
+                status, _, _ = await send(
+                    daemon.ready, "GET", "/plantainshed/ready", {"host": "x"}
+                )
+                self.assertEqual(status, 503)
+                late = await daemon.ask()
+                self.assertEqual((late[0], late[1]["connection"]), (200, "close"))
+            self.assertEqual(answers[0][0], 200)
+            self.assertEqual(await daemon.process.wait(), 0)
+
+
+class TestReload(unittest.TestCase):
+    @on_real_clock
+    async def test_taken_over_with_and_without_a_signal(self):
+        async with running_daemon() as daemon:
+            text = daemon.settings.read_text()
+            daemon.settings.write_text(text.replace("ttl = 5s", "ttl = 4s"))
+            line = await daemon.until_line("reload")
+            self.assertTrue(line["changed"])
+            daemon.lines.clear()
+            daemon.process.send_signal(signal.SIGHUP)
+            line = await daemon.until_line("reload")
+            self.assertFalse(line["changed"])
+
+    @on_real_clock
+    async def test_unusable_file_names_its_field_and_changes_nothing(self):
+        async with running_daemon() as daemon:
+            text = daemon.settings.read_text()
+            daemon.settings.write_text(text.replace("drain = 2000ms", "drain = soon"))
+            line = await daemon.until_line("reload failed")
+            self.assertIn("[bounds] drain", line["problem"])
+            self.assertEqual((await daemon.ask())[0], 200)
+
+
+class TestStuckReader(unittest.TestCase):
+    @on_real_clock
+    async def test_unread_output_delays_no_request(self):
+        """Nobody reads standard output; the pipe fills after some 200 lines.
+
+        A write would then wait, and with it every caller.
+        """
+        async with running_daemon(reads_lines=False) as daemon:
+            for _ in range(600):
+                self.assertEqual((await daemon.ask())[0], 200)
+            status, _, body = await send(
+                daemon.metrics, "GET", "/metrics", {"host": "x"}
+            )
+            self.assertEqual(status, 200)
+            self.assertIn(b"plantainshed_request_seconds", body)
+
+
+class TestStart(unittest.TestCase):
+    def test_unusable_settings_are_named_at_the_terminal(self):
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "gateway.ini"
+            path.write_text("[vm]\nname = x\n")
+            ended = subprocess.run(
+                [sys.executable, "-m", "plantainshed_platform"],
+                env={**os.environ, "PLANTAINSHED_NODE_FILE": str(path)},
+                capture_output=True,
+                text=True,
+                timeout=30,
+            )
+        self.assertEqual(ended.returncode, 2)
+        self.assertIn("[failure_domains]", ended.stderr)
