--- a/packages/gateway/plantainshed_gateway/call.py
+++ b/packages/gateway/plantainshed_gateway/call.py
@@ -22,7 +22,9 @@
     workspace : Workspace or None
     body : bytes
     answer_by : float
-        When the caller, or the route's timeout, gives up.
+        When the route's timeout, or the caller before it, gives up.
+    wait_until : float
+        Until when an answer that a target is making is still taken.
     pool : str
         The one of the route's pools that this request goes to.
     began_at : float
@@ -48,6 +50,7 @@
     workspace: Workspace | None
     body: bytes
     answer_by: float
+    wait_until: float
     pool: str
     began_at: float
     attempts: int = 0
--- a/packages/gateway/plantainshed_gateway/forwarding.py
+++ b/packages/gateway/plantainshed_gateway/forwarding.py
@@ -2,6 +2,7 @@
 
 import contextlib
 
+import trio
 from attrs import frozen
 
 from plantainshed_http.client import ClientConnection
@@ -89,7 +90,7 @@
     async def _send(self, call: Call, state: TargetState, connection: ClientConnection):
         outgoing = Outgoing(
             instance=state.entry.instance,
-            deadline_s=max(0.001, call.seconds_left),
+            deadline_s=max(0.001, call.wait_until - trio.current_time()),
             workspace=call.workspace_name,
         )
         headers = self.wire.target_headers(call.head, outgoing)
