--- a/packages/gateway/plantainshed_gateway/peers.py
+++ b/packages/gateway/plantainshed_gateway/peers.py
@@ -84,13 +84,17 @@
         if to_far and len(self.members.alive()) == 1:
             # Whoever knows nobody yet asks the VMs that the settings name.
             ips |= self.seeds
+        data = encode(self.members.own)
         for ip in ips - {self.ip}:
-            await self.send(self.members.own, ip)
+            await self._send(data, ip)
 
     async def send(self, message: Message, ip: str):
         """Send one message; it may be lost."""
+        await self._send(encode(message), ip)
+
+    async def _send(self, data: bytes, ip: str):
         try:
-            await self._socket.sendto(encode(message), (ip, self.port))
+            await self._socket.sendto(data, (ip, self.port))
         except OSError as error:
             # No route or no listener; the next one may get through.
             self.log.event("datagram not sent", to=ip, problem=str(error))
