Split what takes state in force, and answers, out of two large modules

What nobody calls is gone: Store.delete, Registry.is_current, a bound of the settings. The test of an unusable settings file spoils another option now, as that one is not read any more; it asserts the same.

--- a/packages/gateway/plantainshed_gateway/gateway.py
+++ b/packages/gateway/plantainshed_gateway/gateway.py
@@ -11,7 +11,7 @@
 from .connections import TargetConnections
 from .context import Context
 from .datagrams import Message, TokenAsk, TokenLoan
-from .errors import BadItem, BadRequest, ItemExists, StoreUnavailable
+from .errors import BadRequest, ItemExists, StoreUnavailable
 from .forwarding import Forwarder
 from .loans import Loans
 from .lookup import LookupTable
@@ -28,6 +28,7 @@
 from .retry_budget import RetryBudgets
 from .serving import Serving
 from .settings import Settings
+from .state_taker import StateTaker
 
 FOLLOWED = (Collection.CONFIGURATION, Collection.TARGETS, Collection.EVACUATIONS)
 UPKEEP_S = 0.25
@@ -39,8 +40,6 @@
 # this VM then serves with what it knew, as it would have without the pause.
 CATCH_UP_S = 1.5
 CATCH_UP_STEP_S = 0.02
-# How long after the store came back entries may still be on their way back.
-LAPSE_S = 2.2
 
 
 class Gateway:
@@ -90,6 +89,14 @@
             )
             for collection in FOLLOWED
         }
+        self.state_taker = StateTaker(
+            surroundings.decoder,
+            self.followers,
+            self.admission,
+            self.registry,
+            self.limits,
+            context.log,
+        )
         self.peers = Peers(
             self.members,
             settings.ip,
@@ -125,106 +132,10 @@
             nursery.start_soon(self._know_vms)
             nursery.start_soon(self._upkeep)
 
-    # State that came from the store or from peers.
-
     def _on_change(self, collection: Collection):
-        if collection is Collection.CONFIGURATION:
-            self._take_configuration()
-        elif collection is Collection.TARGETS:
-            self._take_targets()
-        else:
-            self._take_evacuations()
+        self.state_taker.take(collection)
         self._become_ready()
 
-    def _take_configuration(self):
-        decoder = self.context.surroundings.decoder
-        for item in self.replicas[Collection.CONFIGURATION].items.values():
-            try:
-                configuration = decoder.configuration(item)
-            except BadItem as error:
-                self._log_bad(Collection.CONFIGURATION, error)
-                continue
-            if configuration is None:
-                continue
-            self._put_in_force(configuration, item.revision)
-
-    def _put_in_force(self, configuration, revision: int):
-        known = self.admission.configuration
-        if known is not None and configuration.version <= known.version:
-            return
-        self.admission.configuration = configuration
-        routes = [r for by in configuration.routes.values() for r in by.values()]
-        self.admission.splitter.keep({(r.name, r.pools) for r in routes})
-        self.registry.take_configuration(configuration)
-        self.limits.head_timeout_s = configuration.limits.head_timeout_s
-        self.limits.idle_timeout_s = configuration.limits.idle_timeout_s
-        self.log.event(
-            "configuration in force",
-            version=configuration.version,
-            version_before=known.version if known else None,
-            revision=revision,
-            routes=len(routes),
-        )
-
-    def _take_targets(self):
-        decoder = self.context.surroundings.decoder
-        follower = self.followers[Collection.TARGETS]
-        entries = []
-        for item in follower.replica.items.values():
-            try:
-                entries.append(decoder.target(item))
-            except BadItem as error:
-                self._log_bad(Collection.TARGETS, error)
-        before = {name: s.entry for name, s in self.registry.states.items()}
-        since_back = trio.current_time() - follower.regained_at
-        self.registry.take_entries(entries, may_have_lapsed=since_back < LAPSE_S)
-        self._log_targets(before, follower.replica.revision)
-
-    def _log_targets(self, before: dict, revision: int):
-        after = self.registry.states
-        joined = [name for name in after if name not in before]
-        gone = [name for name in before if name not in after]
-        leaving = [
-            name
-            for name, entry in before.items()
-            if name in after and after[name].entry.is_leaving and not entry.is_leaving
-        ]
-        if joined or gone or leaving:
-            self.log.event(
-                "targets changed",
-                revision=revision,
-                joined=joined if before else len(joined),
-                gone=gone,
-                leaving=leaving,
-                known=len(after),
-            )
-
-    def _take_evacuations(self):
-        decoder = self.context.surroundings.decoder
-        domains = set()
-        for item in self.replicas[Collection.EVACUATIONS].items.values():
-            try:
-                domains.add(decoder.evacuated_domain(item))
-            except BadItem as error:
-                self._log_bad(Collection.EVACUATIONS, error)
-        if domains != self.registry.evacuated:
-            self.log.event(
-                "evacuations changed",
-                failure_domains=sorted(domains),
-                before=sorted(self.registry.evacuated),
-                revision=self.replicas[Collection.EVACUATIONS].revision,
-            )
-        self.registry.take_evacuated(frozenset(domains))
-
-    def _log_bad(self, collection: Collection, error: BadItem):
-        self.log.event(
-            "object not usable",
-            collection=collection,
-            name=error.name,
-            field=error.field,
-            problem=error.problem,
-        )
-
     def _become_ready(self):
         if self.state is not VmState.STARTING:
             return
--- a/packages/gateway/plantainshed_gateway/ports.py
+++ b/packages/gateway/plantainshed_gateway/ports.py
@@ -7,7 +7,7 @@
 from enum import StrEnum
 from typing import Any, Protocol
 
-from attrs import define, field, frozen
+from attrs import define, frozen
 
 from plantainshed_http.messages import Headers, RequestHead, ResponseHead
 
@@ -236,9 +236,6 @@
     async def replace(self, collection: Collection, item: Item, value: Any):
         """Replace an object if it is still at the item's revision."""
 
-    async def delete(self, collection: Collection, item: Item):
-        """Delete an object if it is still at the item's revision."""
-
 
 @define
 class Surroundings:
@@ -247,4 +244,3 @@
     wire: Wire
     decoder: Decoder
     store: Store
-    fields_of_settings: dict = field(factory=dict)
--- a/packages/gateway/plantainshed_gateway/registry.py
+++ b/packages/gateway/plantainshed_gateway/registry.py
@@ -271,15 +271,6 @@
             return assigned
         return sound
 
-    def is_current(self, state: TargetState) -> bool:
-        """Tell whether a target may still get new work."""
-        entry = state.entry
-        return (
-            self.states.get(entry.instance) is state
-            and not entry.is_leaving
-            and entry.failure_domain not in self.evacuated
-        )
-
 
 def cold_admitters(instance: str, vms: list[str], most: int) -> list[str]:
     """Return the VMs that may send to a cold target, the same on all of them.
--- a/packages/gateway/plantainshed_gateway/serving.py
+++ b/packages/gateway/plantainshed_gateway/serving.py
@@ -7,15 +7,14 @@
 import contextlib
 from http import HTTPStatus
 
-import orjson
 import trio
 
 from plantainshed_http.client import ClientConnection
-from plantainshed_http.errors import BadMessage, ConnectFailed, ConnectionBroken
-from plantainshed_http.messages import Headers, end_to_end
+from plantainshed_http.errors import BadMessage, ConnectFailed
 from plantainshed_http.server import Exchange
 
 from .admission import Admission
+from .answers import pass_on, refusal_body, refusal_headers
 from .call import Call
 from .context import Context
 from .errors import AttemptFailed, BadRequest, Refusal
@@ -40,7 +39,6 @@
 PAUSED_RETRY_AFTER_S = 0.3
 # Time in which a target that lives accepts a connection, after one broke.
 CRASH_CHECK_S = 0.3
-NO_BODY_STATUS = frozenset({HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED})
 
 
 class Serving:
@@ -194,7 +192,7 @@
                     raise AttemptFailed(
                         Reason.TARGET_ERROR, f"status {answer.head.status}", True
                     )
-                await self._pass_on(exchange, call, answer)
+                await pass_on(exchange, answer)
         except AttemptFailed as failure:
             call.may_have_run = ran_before or failure.may_have_run
             self._learn_from(call, state, failure)
@@ -283,32 +281,6 @@
 
     # Answers.
 
-    async def _pass_on(self, exchange: Exchange, call: Call, answer: Answer):
-        headers = end_to_end(answer.head.headers)
-        if answer.rest is not None:
-            await self._stream(exchange, answer, headers)
-        elif call.head.method == "HEAD" or answer.head.status in NO_BODY_STATUS:
-            await exchange.start(answer.head.status, headers)
-            await exchange.finish()
-        else:
-            headers = [(k, v) for k, v in headers if k != b"content-length"]
-            await exchange.reply(answer.head.status, headers, answer.body)
-
-    async def _stream(self, exchange: Exchange, answer: Answer, headers: Headers):
-        """Pass on a long body piece by piece.
-
-        If it breaks off, only breaking off the caller's connection shows that
-        the rest is missing.
-        """
-        await exchange.start(answer.head.status, headers)
-        try:
-            await exchange.send(answer.body)
-            async for piece in answer.rest:
-                await exchange.send(piece)
-        except ConnectionBroken as error:
-            raise trio.BrokenResourceError from error
-        await exchange.finish()
-
     async def _refuse(
         self,
         exchange: Exchange,
@@ -337,13 +309,9 @@
         )
         if exchange.started:
             raise trio.BrokenResourceError
-        await exchange.reply(refusal.status, self._headers(refusal), _body(refusal))
-
-    def _headers(self, refusal: Refusal) -> Headers:
-        headers = [(b"content-type", b"application/json")]
-        if refusal.retry_after_s is not None:
-            headers.append(self.wire.retry_after(refusal.retry_after_s))
-        return headers
+        await exchange.reply(
+            refusal.status, refusal_headers(refusal, self.wire), refusal_body(refusal)
+        )
 
     @property
     def _version(self) -> int:
@@ -376,13 +344,3 @@
     with contextlib.suppress(BadRequest):
         return wire.read_request(exchange.request).request_id
     return ""
-
-
-def _body(refusal: Refusal) -> bytes:
-    return orjson.dumps(
-        {
-            "reason": refusal.reason,
-            "message": str(refusal),
-            "retry_after_s": refusal.retry_after_s,
-        }
-    )
--- a/packages/gateway/plantainshed_gateway/settings.py
+++ b/packages/gateway/plantainshed_gateway/settings.py
@@ -55,8 +55,6 @@
         as a share and as a number, they may lie over its rate and burst.
     cold_over, cold_slack
         The same for requests to a cold target in a second.
-    drain_s : float
-        Time after which a target that leaves must get nothing.
     """
 
     stop_within_s: float
@@ -69,7 +67,6 @@
     quota_slack: float
     cold_over: float
     cold_slack: float
-    drain_s: float
 
 
 @frozen
@@ -160,7 +157,6 @@
             quota_slack=self._number("bounds", "quota_slack"),
             cold_over=self._number("bounds", "cold_over"),
             cold_slack=self._number("bounds", "cold_slack"),
-            drain_s=self._duration("bounds", "drain"),
         )
 
     def _section(self, section: str):
--- /dev/null
+++ b/packages/gateway/plantainshed_gateway/state_taker.py
@@ -0,0 +1,140 @@
+"""Puts what the store's collections say in force: routes, targets, evacuations.
+
+An object that cannot be read changes nothing: a log line names its field, and
+what was in force goes on.
+"""
+
+import trio
+
+from plantainshed_http.server import ConnectionLimits
+
+from .admission import Admission
+from .errors import BadItem
+from .logs import DecisionLog
+from .model import Configuration
+from .ports import Collection, Decoder, TargetEntry
+from .registry import Registry
+from .replication import Follower
+
+# How long after the store came back targets' entries may still be on their way
+# back; they are written again within two seconds.
+LAPSE_S = 2.2
+
+
+class StateTaker:
+    """Decodes copies of collections and hands them to the parts that decide.
+
+    Parameters
+    ----------
+    decoder : Decoder
+    followers : dict of Collection to Follower
+    admission : Admission
+    registry : Registry
+    limits : ConnectionLimits
+        Of callers' connections; set as the configuration says.
+    log : DecisionLog
+    """
+
+    def __init__(
+        self,
+        decoder: Decoder,
+        followers: dict[Collection, Follower],
+        admission: Admission,
+        registry: Registry,
+        limits: ConnectionLimits,
+        log: DecisionLog,
+    ):
+        self.decoder = decoder
+        self.followers = followers
+        self.admission = admission
+        self.registry = registry
+        self.limits = limits
+        self.log = log
+
+    def take(self, collection: Collection):
+        """Put a collection's newest copy in force."""
+        if collection is Collection.CONFIGURATION:
+            self._take_configuration()
+        elif collection is Collection.TARGETS:
+            self._take_targets()
+        elif collection is Collection.EVACUATIONS:
+            self._take_evacuations()
+
+    def _decoded(self, collection: Collection, decode) -> list:
+        """Return a collection's usable objects, decoded."""
+        decoded = []
+        for item in self.followers[collection].replica.items.values():
+            try:
+                decoded.append(decode(item))
+            except BadItem as error:
+                self.log.event(
+                    "object not usable",
+                    collection=collection,
+                    name=error.name,
+                    field=error.field,
+                    problem=error.problem,
+                )
+        return decoded
+
+    def _take_configuration(self):
+        decode = self.decoder.configuration
+        for configuration in self._decoded(Collection.CONFIGURATION, decode):
+            if configuration is not None:
+                self._put_in_force(configuration)
+
+    def _put_in_force(self, configuration: Configuration):
+        known = self.admission.configuration
+        if known is not None and configuration.version <= known.version:
+            return
+        self.admission.configuration = configuration
+        routes = [r for by in configuration.routes.values() for r in by.values()]
+        self.admission.splitter.keep({(r.name, r.pools) for r in routes})
+        self.registry.take_configuration(configuration)
+        self.limits.head_timeout_s = configuration.limits.head_timeout_s
+        self.limits.idle_timeout_s = configuration.limits.idle_timeout_s
+        self.log.event(
+            "configuration in force",
+            version=configuration.version,
+            version_before=known.version if known else None,
+            revision=self.followers[Collection.CONFIGURATION].replica.revision,
+            routes=len(routes),
+        )
+
+    def _take_targets(self):
+        follower = self.followers[Collection.TARGETS]
+        entries = self._decoded(Collection.TARGETS, self.decoder.target)
+        before = {name: s.entry for name, s in self.registry.states.items()}
+        since_back = trio.current_time() - follower.regained_at
+        self.registry.take_entries(entries, may_have_lapsed=since_back < LAPSE_S)
+        self._log_targets(before, follower.replica.revision)
+
+    def _log_targets(self, before: dict[str, TargetEntry], revision: int):
+        after = self.registry.states
+        joined = [name for name in after if name not in before]
+        gone = [name for name in before if name not in after]
+        leaving = [
+            name
+            for name, entry in before.items()
+            if name in after and after[name].entry.is_leaving and not entry.is_leaving
+        ]
+        if joined or gone or leaving:
+            self.log.event(
+                "targets changed",
+                revision=revision,
+                joined=joined if before else len(joined),
+                gone=gone,
+                leaving=leaving,
+                known=len(after),
+            )
+
+    def _take_evacuations(self):
+        decode = self.decoder.evacuated_domain
+        domains = set(self._decoded(Collection.EVACUATIONS, decode))
+        if domains != self.registry.evacuated:
+            self.log.event(
+                "evacuations changed",
+                failure_domains=sorted(domains),
+                before=sorted(self.registry.evacuated),
+                revision=self.followers[Collection.EVACUATIONS].replica.revision,
+            )
+        self.registry.take_evacuated(frozenset(domains))
--- a/tests/gateway/gateway_support.py
+++ b/tests/gateway/gateway_support.py
@@ -26,7 +26,6 @@
     quota_slack=20.0,
     cold_over=1.5,
     cold_slack=5.0,
-    drain_s=2.0,
 )
 POOL = Pool("calendario", warmup_s=3.0, warmup_per_s=15.0)
 
--- a/tests/platform/platform_support.py
+++ b/tests/platform/platform_support.py
@@ -36,7 +36,6 @@
     quota_slack=20.0,
     cold_over=1.5,
     cold_slack=5.0,
-    drain_s=2.0,
 )
 _REQUEST_NUMBERS = itertools.count()
 
--- a/tests/platform/test_daemon.py
+++ b/tests/platform/test_daemon.py
@@ -33,7 +33,6 @@
     "bounds.quotaSlack": "20",
     "bounds.coldOver": "1.5",
     "bounds.coldSlack": "5",
-    "bounds.drain": "2000ms",
 }
 
 
@@ -189,9 +188,11 @@
     async def test_unusable_file_names_its_field_and_changes_nothing(self):
         async with running_daemon() as daemon:
             text = daemon.settings.read_text()
-            daemon.settings.write_text(text.replace("drain = 2000ms", "drain = soon"))
+            daemon.settings.write_text(
+                text.replace("stop_within = 2s", "stop_within = soon")
+            )
             line = await daemon.until_line("reload failed")
-            self.assertIn("[bounds] drain", line["problem"])
+            self.assertIn("[bounds] stop_within", line["problem"])
             self.assertEqual((await daemon.ask())[0], 200)
 
 
