--- a/tests/platform/target_standin.py
+++ b/tests/platform/target_standin.py
@@ -1,6 +1,7 @@
 """A small stand-in of a target (back end), after the published protocol."""
 
 import contextlib
+import struct
 
 import h11
 import trio
@@ -33,7 +34,9 @@
     spoils : list of str
         How the next answers go wrong: ``unsigned``, ``encoded``, ``truncated``,
         ``reset``, ``extra`` (another request's answer first), ``after`` (bytes
-        after the end), ``fails`` (500), ``garbage``.
+        after the end), ``fails`` (500), ``garbage``, ``unframed`` (no length,
+        ends with its connection), ``unframed reset`` (the same, broken off),
+        ``cut`` (the body ends early).
     runs : list of Run
     """
 
@@ -81,13 +84,14 @@
         how = self.spoils.pop(0) if self.spoils else ""
         seal = [("Server-Seal", f"seal-{self.instance}")]
         if how == "reset":
-            stream.setsockopt(
-                trio.socket.SOL_SOCKET, trio.socket.SO_LINGER, b"\1\0\0\0" + b"\0" * 4
-            )
+            _reset_on_close(stream)
             return False
         if how == "garbage":
             await stream.send_all(b"\x00\x01 what is this\r\n\r\n")
             return False
+        if how in ("unframed", "unframed reset", "cut"):
+            await self._send_loose(stream, headers["request-id"], how)
+            return False
         if how == "truncated":
             head = f"HTTP/1.1 200 OK\r\nRequest-Id: {headers['request-id']}\r\n"
             head += "Server-Seal: s\r\nContent-Length: 900\r\n\r\nonly a part"
@@ -106,6 +110,18 @@
             await stream.send_all(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad")
         return True
 
+    async def _send_loose(self, stream, request_id, how):
+        """Send an answer whose end only the connection shows."""
+        head = f"HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\nServer-Seal: s\r\n"
+        if how == "cut":
+            head += f"Content-Length: {len(self.body)}\r\n"
+        body = self.body if how == "unframed" else self.body[: len(self.body) // 2]
+        await stream.send_all((head + "\r\n").encode() + body)
+        if how == "unframed reset":
+            # Let the bytes arrive; a reset at once would discard them.
+            await trio.sleep(0.05)
+            _reset_on_close(stream)
+
     async def _reply(self, stream, connection, status, headers, body, more=()):
         sent = [("Content-Length", str(len(body))), ("Instance-Id", self.instance)]
         if "request-id" in headers:
@@ -117,6 +133,12 @@
         await stream.send_all(data)
 
 
+def _reset_on_close(stream):
+    """Make closing a connection reset it."""
+    linger = struct.pack("ii", 1, 0)
+    stream.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_LINGER, linger)
+
+
 async def _read_request(stream, connection):
     request, parts = None, []
     while True:
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from plantainshed_http.errors import ConnectionBroken
 from plantainshed_http.server import Stopping, serve_http
 from tests.platform.platform_support import (
     HOST,
@@ -167,6 +168,47 @@
             self.assertIn("server-seal", headers)
 
 
+class TestLongAnswers(unittest.TestCase):
+    """Answers that are too long to be held before the caller gets them."""
+
+    LONG = bytes(range(256)) * 4000
+
+    @on_real_clock
+    async def test_long_answer_is_whole(self):
+        async with running_path(1, body=self.LONG) as path:
+            status, _, body = await path.ask()
+            self.assertEqual((status, body == self.LONG), (200, True))
+
+    @on_real_clock
+    async def test_answer_without_a_length_is_whole(self):
+        for size in (1, 4000):
+            async with running_path(1, body=self.LONG[: size * 256]) as path:
+                path.targets[0].spoils = ["unframed"]
+                status, _, body = await path.ask()
+                self.assertEqual((status, len(body)), (200, size * 256))
+
+    @on_real_clock
+    async def test_broken_off_long_answer_does_not_look_whole(self):
+        """A target breaks off in the middle of a long answer.
+
+        Half of it has reached the caller. Ended properly there, it would pass
+        for the whole; the caller must see that its connection broke off.
+        """
+        for how in ("cut", "unframed reset"):
+            async with running_path(1, body=self.LONG) as path:
+                path.targets[0].spoils = [how]
+                with self.assertRaises(ConnectionBroken, msg=how):
+                    await path.ask("/book/1", "POST")
+
+    @on_real_clock
+    async def test_broken_off_short_answer_is_a_failure(self):
+        for how in ("cut", "unframed reset"):
+            async with running_path(1) as path:
+                path.targets[0].spoils = [how]
+                status, _, _ = await path.ask("/book/1", "POST")
+                self.assertEqual(status, 502, how)
+
+
 class TestNotRun(unittest.TestCase):
     @on_real_clock
     async def test_full_target_is_left_for_another(self):
