--- a/tests/platform/platform_support.py
+++ b/tests/platform/platform_support.py
@@ -13,30 +13,19 @@
 from plantainshed_gateway.logs import DecisionLog
 from plantainshed_gateway.members import VmState
 from plantainshed_gateway.ports import Surroundings
-from plantainshed_gateway.settings import Addresses, Bounds, Settings
+from plantainshed_gateway.settings import Addresses, Settings
 from plantainshed_http.client import connected
 from plantainshed_http.server import Stopping, serve_http
 from plantainshed_platform.decoding import PlatformDecoder
 from plantainshed_platform.store import ObjectStore
 from plantainshed_platform.wire import PlatformWire
+from tests.gateway.gateway_support import BOUNDS
 
 from .store_standin import StoreStandin, running_store
 from .target_standin import TargetStandin, running_target
 
 HOST = "calendar.example"
 KEY = "key-of-comune"
-BOUNDS = Bounds(
-    stop_within_s=6.0,
-    longest_ttl_s=5.0,
-    retry_ratio=0.2,
-    retry_slack=64.0,
-    retry_window_s=10.0,
-    quota_window_s=5.0,
-    quota_over=0.1,
-    quota_slack=20.0,
-    cold_over=1.5,
-    cold_slack=5.0,
-)
 _REQUEST_NUMBERS = itertools.count()
 
 
