Let two VMs of each failure domain watch the store for the others

The VMs that speak for a failure domain watch; the others take changes since their own revision from them, told by a heartbeat at once. Tests: watch left to others and taken back; changes told whole or not at all.

--- a/packages/coordination/plantainshed_coordination/rate_part.py
+++ b/packages/coordination/plantainshed_coordination/rate_part.py
@@ -103,8 +103,9 @@
     def receive_loan(self, amount: float, asked_at: float) -> bool:
         """Take in borrowed tokens; tell whether any of them can still be used.
 
-        They are usable for a short while only. The time runs from before they were asked for. A loan that comes late,
-        or to a process that was paused meanwhile, is worth nothing.
+        They are usable for a short while only, which begins before they were
+        asked for. A loan that comes late, or to a process that was paused
+        meanwhile, is worth nothing.
         """
         until = asked_at + LOAN_USABLE_S
         if amount <= 0 or until <= trio.current_time():
--- a/packages/gateway/plantainshed_gateway/gateway.py
+++ b/packages/gateway/plantainshed_gateway/gateway.py
@@ -64,8 +64,10 @@
         self.state = VmState.STARTING
         self.limits = ConnectionLimits()
         self.heartbeat_number = 0
+        self.followers: dict[Collection, Follower] = {}
         self.poison = PoisonBook()
         self.members = Members(self._own_heartbeat({}, {}))
+        self.speakers = Speakers(self.members)
         self.registry = Registry(settings.region_of)
         self.quotas = Quotas(self.members, settings.bounds)
         self.retries = RetryBudgets(settings.bounds)
@@ -89,7 +91,11 @@
         self.lookup = LookupTable(self.members, settings.bounds.longest_ttl_s)
         self.followers = {
             collection: Follower(
-                surroundings.store, collection, self._on_change, context.log
+                surroundings.store,
+                collection,
+                self._on_change,
+                context.log,
+                self.speakers.are_in_touch,
             )
             for collection in FOLLOWED
         }
@@ -101,7 +107,6 @@
             self.limits,
             context.log,
         )
-        self.speakers = Speakers(self.members)
         self.peers = Peers(
             self.members,
             self.speakers,
@@ -144,6 +149,9 @@
     def _on_change(self, collection: Collection):
         self.state_taker.take(collection)
         self._become_ready()
+        if self._nursery is not None and self.speakers.is_speaker:
+            # The others of this failure domain have changes from here.
+            self._nursery.start_soon(self.peers.send_now, False)
 
     def _become_ready(self):
         if self.state is not VmState.STARTING:
@@ -172,6 +180,7 @@
             state=self.state,
             known=known,
             weight=settings.link_mbps,
+            is_in_touch=all(f.is_in_touch for f in self.followers.values()),
             callers=settings.listen.callers,
             control=settings.listen.control,
             newest=newest,
@@ -252,23 +261,27 @@
         if not self.members.take_news(news):
             return False
         self.poison.take(news.deaths)
-        self._follow(news.newest, news.control)
+        self._follow(news.newest, news.control, is_near=False)
         return True
 
     def _on_heartbeat(self, heartbeat: Heartbeat):
         self.poison.take(heartbeat.deaths)
-        self._follow(heartbeat.newest, heartbeat.control)
+        self._follow(heartbeat.newest, heartbeat.control, is_near=True)
 
-    def _follow(self, newest_of: dict[str, int], control: str):
+    def _follow(self, newest_of: dict[str, int], control: str, is_near: bool):
         """Fetch from another VM what it knows and this one does not."""
         for name, newest in newest_of.items():
             follower = self.followers.get(name)
             if follower is not None and newest > follower.replica.revision:
-                self._nursery.start_soon(self._catch_up, follower, control, newest)
+                self._nursery.start_soon(
+                    self._catch_up, follower, control, newest, is_near
+                )
 
-    async def _catch_up(self, follower: Follower, address: str, newest: int):
+    async def _catch_up(
+        self, follower: Follower, address: str, newest: int, is_near: bool
+    ):
         try:
-            await follower.catch_up(address, newest, fetch_state)
+            await follower.catch_up(address, newest, fetch_state, is_near)
         except StoreUnavailable as error:
             self.log.event(
                 "peer gave no state",
@@ -286,7 +299,9 @@
                 if not is_registered:
                     await self._register()
                     is_registered = True
-                snapshot = await self.context.surroundings.store.list(Collection.VMS)
+                snapshot = await self.context.surroundings.store.list(
+                    Collection.VMS, may_be_old=True
+                )
                 self.members.is_listed = True
                 for item in snapshot.items:
                     self._take_listed(item)
--- a/packages/gateway/plantainshed_gateway/heartbeats.py
+++ b/packages/gateway/plantainshed_gateway/heartbeats.py
@@ -57,6 +57,8 @@
         Number of VMs that it knows, itself included.
     weight : float
         What its link carries, in Mbit/s.
+    is_in_touch : bool
+        Whether the store answered its last calls.
     newest : dict of str to int
         Revision of the newest change that it knows, by collection.
     use : dict of str to Use
@@ -75,6 +77,7 @@
     control: str
     known: int = 1
     weight: float = 1.0
+    is_in_touch: bool = False
     newest: dict[str, int] = field(factory=dict)
     use: dict[str, Use] = field(factory=dict)
     deaths: tuple[tuple[str, str], ...] = ()
--- a/packages/gateway/plantainshed_gateway/peers.py
+++ b/packages/gateway/plantainshed_gateway/peers.py
@@ -20,7 +20,7 @@
 from .heartbeats import Heartbeat
 from .logs import DecisionLog
 from .members import Members
-from .ports import Collection, Item, Snapshot
+from .ports import Change, Changes, Collection, Item, Snapshot
 from .replication import Replica
 from .speakers import Speakers
 
@@ -149,19 +149,37 @@
         self._alive = alive
 
 
-async def fetch_state(address: str, collection: Collection) -> Snapshot:
-    """Return another VM's copy of a collection, or raise `StoreUnavailable`."""
-    path = STATE_PATH + collection
+async def fetch_state(
+    address: str, collection: Collection, after: int
+) -> Snapshot | Changes:
+    """Return what another VM knows beyond a revision of a collection.
+
+    That is its whole copy if it does not keep all changes since. Raises
+    `StoreUnavailable`.
+    """
+    path = f"{STATE_PATH}{collection}?after={after}"
     try:
         head, body = await fetch(address, "GET", path, timeout_s=FETCH_TIMEOUT_S)
+        if head.status != 200:
+            raise StoreUnavailable(f"{address}: status {head.status}")
         state = orjson.loads(body)
-        items = [Item(i["name"], i["revision"], i["value"]) for i in state["items"]]
-        snapshot = Snapshot(tuple(items), state["revision"])
+        if "changes" in state:
+            changes = [
+                Change(_item(c["item"]), c["is_deleted"]) for c in state["changes"]
+            ]
+            return Changes(tuple(changes), state["revision"])
+        items = [_item(value) for value in state["items"]]
+        return Snapshot(tuple(items), state["revision"])
     except (HttpError, ValueError, TypeError, KeyError) as error:
         raise StoreUnavailable(f"{address}: {error!r}") from error
-    if head.status != 200:
-        raise StoreUnavailable(f"{address}: status {head.status}")
-    return snapshot
+
+
+def _item(value: dict) -> Item:
+    return Item(value["name"], value["revision"], value["value"])
+
+
+def _fields(item: Item) -> dict:
+    return {"name": item.name, "revision": item.revision, "value": item.value}
 
 
 class StateHandler:
@@ -172,15 +190,21 @@
 
     async def handle(self, exchange: Exchange):
         """Answer one request for a collection."""
-        name = exchange.request.target.removeprefix(STATE_PATH)
-        replica = self.replicas.get(name)
+        path, _, query = exchange.request.target.partition("?")
+        replica = self.replicas.get(path.removeprefix(STATE_PATH))
         if replica is None or not replica.is_known:
             await exchange.reply(404, [], b"no such state here\n")
             return
-        items = [
-            {"name": item.name, "revision": item.revision, "value": item.value}
-            for item in replica.items.values()
-        ]
-        body = orjson.dumps({"revision": replica.revision, "items": items})
+        after = query.removeprefix("after=")
+        changes = replica.changes_since(int(after)) if after.isdigit() else None
+        state: dict = {"revision": replica.revision}
+        if changes is None:
+            state["items"] = [_fields(item) for item in replica.items.values()]
+        else:
+            state["changes"] = [
+                {"item": _fields(change.item), "is_deleted": change.is_deleted}
+                for change in changes.changes
+            ]
+        body = orjson.dumps(state)
         headers = [(b"content-type", b"application/json")]
         await exchange.reply(200, headers, body)
--- a/packages/gateway/plantainshed_gateway/ports.py
+++ b/packages/gateway/plantainshed_gateway/ports.py
@@ -222,8 +222,8 @@
     Calls raise `StoreUnavailable`, `HistoryGone` (watch), or `ItemExists`.
     """
 
-    async def list(self, collection: Collection) -> Snapshot:
-        """Return all objects of a collection."""
+    async def list(self, collection: Collection, may_be_old: bool = False) -> Snapshot:
+        """Return all objects of a collection; old by seconds if that may be."""
 
     async def watch(
         self, collection: Collection, revision: int, wait_s: float
--- a/packages/gateway/plantainshed_gateway/replication.py
+++ b/packages/gateway/plantainshed_gateway/replication.py
@@ -1,11 +1,14 @@
 """Keeping a copy of a collection of the store, from the store or from peers.
 
-`Follower.run` lists a collection once and then waits for changes. While the
-store turns this VM away, other VMs may still be served: their heartbeats name
-the newest change that they know, and `take_from_peer` brings this VM up to it.
+`Follower.run` lists a collection once. Then a few VMs of each failure domain
+wait for changes at the store, and the others take them from these: each watch is
+a call that has its price, and the store's rates grow more slowly than the fleet.
+While the store turns a VM away, other VMs may still be served: heartbeats and news
+name the newest change that a VM knows, and `catch_up` brings this one up to it.
 A copy never goes back to an older revision.
 """
 
+from collections import deque
 from collections.abc import Awaitable, Callable
 
 import trio
@@ -32,9 +35,21 @@
 # than a watch's answer takes between regions (about 30 ms), and short beside
 # the 2 s in which a change must be in force.
 PEER_GRACE_S = 0.25
+# The same for a VM that has its changes from its failure domain's speakers. News
+# of other domains comes half a second after theirs; what is missing then was not
+# told by them.
+RESTING_GRACE_S = 0.5
+# Time after a start in which the VMs of the own failure domain are heard, and it
+# is known whether others watch the store.
+SETTLE_S = 1.0
+# How often a VM that leaves watching to others looks whether they still do.
+REST_S = 0.25
+# Batches of changes that are kept for others; some minutes of usual changes.
+KEPT_CHANGES = 64
 
 Listener = Callable[[Collection], None]
-FetchFromPeer = Callable[[str, Collection], Awaitable[Snapshot]]
+FetchFromPeer = Callable[[str, Collection, int], Awaitable[Snapshot | Changes]]
+IsCovered = Callable[[], bool]
 
 
 @define
@@ -53,6 +68,8 @@
         When the store, or a peer, last confirmed it.
     is_confirmed : bool
         False after a pause of this process, until it is read again.
+    recent : deque of (int, Changes)
+        The last changes, each with the revision that the copy had before.
     """
 
     collection: Collection
@@ -61,6 +78,9 @@
     changed_at_revision: int = 0
     heard_at: float = float("-inf")
     is_confirmed: bool = True
+    recent: deque[tuple[int, Changes]] = field(
+        factory=lambda: deque(maxlen=KEPT_CHANGES)
+    )
 
     @property
     def is_known(self) -> bool:
@@ -84,6 +104,7 @@
         self.changed_at_revision = max(self.changed_at_revision, newest)
         self.items = items
         self.revision = snapshot.revision
+        self.recent.clear()
         self.heard_at = trio.current_time()
         return changed
 
@@ -102,9 +123,23 @@
             else:
                 self.items[item.name] = item
             self.changed_at_revision = max(self.changed_at_revision, item.revision)
+        if changes.changes:
+            self.recent.append((self.revision, changes))
         self.revision = max(self.revision, changes.revision)
         return changed
 
+    def changes_since(self, revision: int) -> Changes | None:
+        """Return what changed after a revision, None if that is not kept."""
+        if not self.recent or revision < self.recent[0][0]:
+            return None
+        changes = [
+            change
+            for _, batch in self.recent
+            if batch.revision > revision
+            for change in batch.changes
+        ]
+        return Changes(tuple(changes), self.revision)
+
 
 class Follower:
     """Follows one collection.
@@ -116,11 +151,19 @@
     listener : callable
         Called after each change of the copy.
     log : DecisionLog
+    is_covered : callable, optional
+        Tells whether other VMs watch the store for this one. Without it none do.
     """
 
     def __init__(
-        self, store: Store, collection: Collection, listener: Listener, log: DecisionLog
+        self,
+        store: Store,
+        collection: Collection,
+        listener: Listener,
+        log: DecisionLog,
+        is_covered: IsCovered | None = None,
     ):
+        self._is_covered = is_covered
         self.store = store
         self.collection = collection
         self.listener = listener
@@ -131,6 +174,8 @@
         self.regained_at = float("-inf")
         self._retry_s = FIRST_RETRY_S
         self._must_list = True
+        self.is_resting = False
+        self._is_settled = False
         self._watching: trio.CancelScope | None = None
         self._is_overtaken = False
         self._taking = False
@@ -141,7 +186,12 @@
             try:
                 if self._must_list:
                     await self._list()
-                await self._watch()
+                if self._is_covered and not self._is_settled:
+                    await self._settle()
+                if self._is_covered and self._is_covered():
+                    await self._rest()
+                else:
+                    await self._watch()
             except HistoryGone:
                 self._must_list = True
                 self.log.event(
@@ -159,6 +209,22 @@
         if self.replica.take_snapshot(snapshot):
             self.listener(self.collection)
 
+    async def _settle(self):
+        """Give the first heartbeats time to tell whether others watch."""
+        self._is_settled = True
+        with trio.move_on_after(SETTLE_S):
+            while not self._is_covered() and not self._must_list:
+                await trio.sleep(REST_S)
+
+    async def _rest(self):
+        """Leave watching to other VMs for as long as they do."""
+        self.is_resting = True
+        self.log.event("store watched by others", collection=self.collection)
+        while self._is_covered() and not self._must_list:
+            await trio.sleep(REST_S)
+        self.is_resting = False
+        self.log.event("store watched here", collection=self.collection)
+
     async def _watch(self):
         with trio.move_on_after(WATCH_S + WATCH_MARGIN_S) as scope:
             self._watching, self._is_overtaken = scope, False
@@ -207,7 +273,9 @@
             return 0.0
         return round(trio.current_time() - self.lost_at, 3)
 
-    async def catch_up(self, peer: str, newest: int, fetch: FetchFromPeer):
+    async def catch_up(
+        self, peer: str, newest: int, fetch: FetchFromPeer, is_near: bool = False
+    ):
         """Take the copy of a peer that knows a newer change than this VM.
 
         A watch can go silent, or the store can turn this VM away and tell the
@@ -218,13 +286,16 @@
         if self._taking or self.replica.revision >= newest:
             return
         self._taking = True
+        grace_s = PEER_GRACE_S
+        if self.is_resting:
+            grace_s = 0.0 if is_near else RESTING_GRACE_S
         try:
-            await trio.sleep(PEER_GRACE_S)
-            if self.replica.revision >= newest:
-                return
-            snapshot = await fetch(peer, self.collection)
+            await trio.sleep(grace_s)
             before = self.replica.revision
-            changed = self.replica.take_snapshot(snapshot)
+            if before >= newest:
+                return
+            told = await fetch(peer, self.collection, before)
+            changed = self._take_told(told)
             self.log.event(
                 "state taken from peer",
                 collection=self.collection,
@@ -239,6 +310,11 @@
         finally:
             self._taking = False
 
+    def _take_told(self, told: Snapshot | Changes) -> bool:
+        if isinstance(told, Snapshot):
+            return self.replica.take_snapshot(told)
+        return self.replica.take_changes(told)
+
     def _restart_watch(self):
         """End a watch that waits for what is past."""
         if self._watching is not None:
--- a/packages/gateway/plantainshed_gateway/speakers.py
+++ b/packages/gateway/plantainshed_gateway/speakers.py
@@ -67,6 +67,17 @@
         """Whether this VM speaks for its failure domain."""
         return self.members.own.vm in self.names()
 
+    def are_in_touch(self) -> bool:
+        """Tell whether other VMs watch the store for this one.
+
+        They do if they speak for the failure domain and the store answers them.
+        """
+        names = self.names()
+        if self.members.own.vm in names:
+            return False
+        table = self.members.table
+        return any(table[name].heartbeat.is_in_touch for name in names)
+
     def receivers(self) -> list[str]:
         """Return the IP addresses that this VM's news goes to, one a domain."""
         own = self.members.own
--- a/tests/gateway/test_state.py
+++ b/tests/gateway/test_state.py
@@ -58,6 +58,26 @@
         replica.take_changes(old)
         self.assertEqual(replica.items["a"].value, "new")
 
+    @on_mock_clock
+    async def test_tells_changes_since_a_revision_or_nothing(self):
+        """A VM that asks for what it missed must get all of it or the whole.
+
+        A gap would leave a target that has left, or an old route, in its copy
+        for good.
+        """
+        replica = Replica(Collection.TARGETS)
+        replica.take_snapshot(Snapshot((Item("a", 5, 1),), 7))
+        self.assertIsNone(replica.changes_since(7))
+        replica.take_changes(Changes((Change(Item("b", 9, 1), False),), 9))
+        replica.take_changes(Changes((Change(Item("a", 12, 1), True),), 12))
+        self.assertIsNone(replica.changes_since(6))
+        other = Replica(Collection.TARGETS)
+        other.take_snapshot(Snapshot((Item("a", 5, 1),), 8))
+        other.take_changes(replica.changes_since(8))
+        self.assertEqual(other.items, replica.items)
+        self.assertEqual(other.revision, 12)
+        self.assertEqual(len(replica.changes_since(9).changes), 1)
+
     @on_mock_clock
     async def test_deletion_in_a_list_counts_as_a_change(self):
         """A VM learns by a list that a target has left, others by no way yet.
@@ -85,7 +105,7 @@
             SilentStore(), Collection.CONFIGURATION, changed.append, NoLog()
         )
 
-        async def fetch(peer, collection):
+        async def fetch(peer, collection, after):
             return Snapshot((Item("a", 12, "newer"),), 12)
 
         async with trio.open_nursery() as nursery:
@@ -120,6 +140,46 @@
             nursery.cancel_scope.cancel()
         self.assertEqual(follower.replica.items["a"].value, 2)
 
+    @on_mock_clock
+    async def test_watch_is_left_to_others_while_they_are_in_touch(self):
+        """Every VM of a large fleet watches the store; each change costs a call.
+
+        Two of a failure domain watch, the others take changes from them. When
+        the store turns these two away, the others must watch again, or a
+        withdrawn key goes on working in the whole domain.
+        """
+
+        class Counting(SilentStore):
+            watches = 0
+
+            async def watch(self, collection, revision, wait_s):
+                self.watches += 1
+                await trio.sleep(wait_s)
+                return Changes((), revision)
+
+        store, covered = Counting(), [True]
+        follower = Follower(
+            store, Collection.TARGETS, lambda c: None, NoLog(), lambda: covered[0]
+        )
+        changes = Changes((Change(Item("b", 12, "newer"), False),), 12)
+
+        async def fetch(peer, collection, after):
+            self.assertEqual(after, 7)
+            return changes
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(follower.run)
+            await trio.sleep(60)
+            self.assertEqual(store.watches, 0)
+            began_at = trio.current_time()
+            await follower.catch_up("peer", 12, fetch, is_near=True)
+            self.assertEqual(trio.current_time(), began_at)
+            self.assertEqual(follower.replica.items["b"].value, "newer")
+            covered[0] = False
+            await trio.sleep(0.5)
+            self.assertEqual(store.watches, 1)
+            nursery.cancel_scope.cancel()
+
     @on_mock_clock
     async def test_silent_watch_is_given_up(self):
         store = SilentStore()
