Add a randomized soak of the real programs

Callers, targets and the store are stand-ins in one process; the gateways run as processes of their own, each at a loopback address, and reach store and targets through proxies. Faults are drawn from a seed, in series and overlapping: the store down, silent, slow, forgetful, losing answers, turning one VM away or cut one way; targets silent, slow, reset, spoiling answers, leaving or crashing; processes paused, killed, stopped, told of changed settings; keys, routes, configurations and evacuations. Promises are checked from what callers and targets saw; the last line is one JSON object.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,11 @@
 PACKAGES := packages/coordination packages/model packages/http packages/standins \
 	packages/entry packages/operator packages/measure packages/gateway platform
 
-.PHONY: run test lint format bench measure capacity
+# Draws the faults of `make soak`, and how long they go on, in seconds.
+SEED ?= 1
+DURATION ?= 30
+
+.PHONY: run test lint format bench measure capacity soak
 
 run: .venv/installed
 	$(BIN)/plantainshed demo --deployment=$(DEPLOYMENT)
@@ -15,6 +19,9 @@
 test: .venv/installed
 	$(BIN)/python -m nose2 -s tests -t . --log-level ERROR
 
+soak: .venv/installed
+	$(BIN)/python -m tests.platform.soak --seed=$(SEED) --duration=$(DURATION)
+
 lint: .venv/installed
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- /dev/null
+++ b/tests/platform/daemon_support.py
@@ -0,0 +1,56 @@
+"""The daemon's settings, filled in as the platform does."""
+
+from pathlib import Path
+
+import trio
+
+TEMPLATE = Path(__file__).parents[2] / "deploy" / "gateway.ini"
+ZONES = "{{#zones}}\n{{@}} = {{.}}\n{{/zones}}\n"
+FIELDS = {
+    "nodeName": "edge-mil-a-1",
+    "zone": "mil-a",
+    "region": "lombardia",
+    "ip": "127.0.0.1",
+    "limits.linkMbps": "1000",
+    "seeds": "",
+    "bounds.grace": "2s",
+    "bounds.ttl_max": "5s",
+    "bounds.retryBudgetRatio": "0.2",
+    "bounds.budgetSlack": "64",
+    "bounds.budgetWindow": "10s",
+    "bounds.quotaWindow": "5s",
+    "bounds.quotaOver": "0.1",
+    "bounds.quotaSlack": "20",
+    "bounds.coldOver": "1.5",
+    "bounds.coldSlack": "5",
+}
+
+
+def filled_template(
+    store: str, ports: list[int], zones="mil-a = lombardia\n", **fields
+) -> str:
+    """Fill in the template as the platform does."""
+    text = TEMPLATE.read_text()
+    text = text.replace(ZONES, zones)
+    values = {**FIELDS, "platform.addr": store, **fields}
+    for name, port in zip(
+        ("listen.front", "listen.ready", "listen.directory", "listen.control"),
+        ports,
+        strict=False,
+    ):
+        values[name] = f"{values['ip']}:{port}"
+    values["internalPortRange.0"] = str(ports[4])
+    for name, value in values.items():
+        text = text.replace("{{" + name + "}}", value)
+    return text.replace(":9464", f":{ports[5]}")
+
+
+async def free_ports(count: int) -> list[int]:
+    """Return ports that nobody listens on."""
+    listeners = [
+        (await trio.open_tcp_listeners(0, host="127.0.0.1"))[0] for _ in range(count)
+    ]
+    ports = [listener.socket.getsockname()[1] for listener in listeners]
+    for listener in listeners:
+        await listener.aclose()
+    return ports
--- /dev/null
+++ b/tests/platform/soak/__main__.py
@@ -0,0 +1,128 @@
+"""Run a soak: ``python -m tests.platform.soak --seed=1 --duration=30``."""
+
+import json
+import shutil
+import sys
+import tempfile
+import time
+from collections import Counter
+from enum import IntEnum
+from pathlib import Path
+
+import fire
+import trio
+
+from tests.platform.store_standin import running_store
+
+from .callers import Seen, make_callers
+from .faults import Faults, draw
+from .processes import running_vms
+from .promises import Findings, Promises
+from .settings import RECOVERY_S, SoakSettings
+from .world import running_world
+
+START_S = 25.0
+END_PHASE_S = 6.0
+SHOWN_EACH = 3
+KEPT_LOGS = Path("target") / "soak"
+
+
+class ExitCode(IntEnum):
+    """What the process ends with."""
+
+    OK = 0
+    VIOLATED = 1
+
+
+def soak(
+    seed: int = 1, duration: float = 30.0, vms: int = 6, domains: int = 3, rate=0.5
+):
+    """Run one soak; the last line is one JSON object.
+
+    Parameters
+    ----------
+    seed : int
+        Draws the faults and the load.
+    duration : float
+        Seconds in which faults begin.
+    vms, domains : int
+        Gateways, and failure domains that they are spread over.
+    rate : float
+        Faults a second.
+    """
+    settings = SoakSettings(
+        seed=seed,
+        duration_s=float(duration),
+        vms=vms,
+        domains=domains,
+        targets=max(6, 2 * domains),
+        faults_per_s=float(rate),
+    )
+    began_at = time.monotonic()
+    with tempfile.TemporaryDirectory(prefix="soak-") as folder:
+        report = trio.run(_soak, settings, Path(folder))
+        if report["violations"]:
+            report["logs"] = _keep(Path(folder), seed)
+    report["seconds"] = round(time.monotonic() - began_at, 1)
+    print(json.dumps(report))
+    sys.exit(ExitCode.VIOLATED if report["violations"] else ExitCode.OK)
+
+
+async def _soak(settings: SoakSettings, folder: Path) -> dict:
+    seen: list[Seen] = []
+    plan = draw(settings)
+    async with running_world(settings) as world:
+        async with running_store(world.store) as store_address:
+            async with running_vms(settings, store_address, folder) as vms:
+                await _until_ready(vms, folder)
+                faults = Faults(world, vms)
+                callers = make_callers(world, vms, seen, settings.callers)
+                async with trio.open_nursery() as load:
+                    for caller in callers:
+                        load.start_soon(caller.run)
+                    await faults.run(plan)
+                    await trio.sleep(RECOVERY_S)
+                    settled_at = trio.current_time()
+                    await trio.sleep(END_PHASE_S)
+                    load.cancel_scope.cancel()
+                ended_at = trio.current_time()
+                promises = Promises(world, vms, seen, faults.disturbances)
+                findings = promises.check(settled_at, ended_at)
+    return _report(settings, plan, seen, findings)
+
+
+async def _until_ready(vms, folder: Path):
+    """Wait until each VM says in its log that it serves."""
+    with trio.fail_after(START_S + 0.2 * len(vms)):
+        for vm in vms:
+            while not vm.log.exists() or b'"message":"ready"' not in _bytes(vm.log):
+                await trio.sleep(0.1)
+
+
+def _bytes(path: Path) -> bytes:
+    return path.read_bytes()
+
+
+def _report(settings, plan, seen, findings: Findings) -> dict:
+    return {
+        "seed": settings.seed,
+        "duration_s": settings.duration_s,
+        "vms": settings.vms,
+        "faults": dict(Counter(fault.kind for fault in plan)),
+        "requests": len(seen),
+        "statuses": dict(Counter(str(one.status) for one in seen)),
+        "violations": {rule: len(lines) for rule, lines in findings.by_rule.items()},
+        "first": {r: lines[:SHOWN_EACH] for r, lines in findings.by_rule.items()},
+    }
+
+
+def _keep(folder: Path, seed: int) -> str:
+    """Keep the logs of a run that broke a promise."""
+    kept = KEPT_LOGS / f"seed-{seed}"
+    shutil.rmtree(kept, ignore_errors=True)
+    shutil.copytree(folder, kept)
+    return str(kept)
+
+
+if __name__ == "__main__":
+    fire.Fire(soak)
--- /dev/null
+++ b/tests/platform/soak/faults.py
@@ -0,0 +1,317 @@
+"""Faults drawn from a seed, and how each is done from outside."""
+
+import random
+import signal
+
+import trio
+from attrs import define, frozen
+
+from .processes import Vm
+from .settings import SoakSettings
+from .world import LARGE, SMALL, Target, World
+
+SPOILS = ("unsigned", "truncated", "reset", "extra", "after", "fails", "cut", "garbage")
+
+
+@frozen
+class Fault:
+    """One disturbance.
+
+    Parameters
+    ----------
+    kind : str
+        Name of a method of `Faults`.
+    at, for_s : float
+        Seconds from the start of the load, and how long it lasts.
+    number : int
+        Draws which VM or target it hits.
+    """
+
+    kind: str
+    at: float
+    for_s: float
+    number: int
+
+
+@define
+class Disturbance:
+    """A time in which promises with a bound in time do not hold.
+
+    Parameters
+    ----------
+    scope : str
+        A VM's name, a target's instance, ``store``, or ``all``.
+    """
+
+    kind: str
+    scope: str
+    began_at: float
+    ended_at: float = float("inf")
+
+
+KINDS = (
+    "store_down",
+    "store_silent",
+    "store_slow",
+    "store_loses_answers",
+    "store_forgets",
+    "store_turns_away",
+    "store_cut_one_way",
+    "target_silent",
+    "target_slow",
+    "target_resets",
+    "target_spoils",
+    "target_leaves",
+    "target_crashes",
+    "vm_pause",
+    "vm_kill",
+    "vm_stop",
+    "vm_hup",
+    "many_killed",
+    "key_withdrawn",
+    "route_changed",
+    "configurations",
+    "domain_evacuated",
+)
+
+
+def draw(settings: SoakSettings) -> list[Fault]:
+    """Return the faults of a soak; some come in series, many overlap."""
+    rng = random.Random(f"{settings.seed}/faults")
+    faults = []
+    at = 1.0
+    while at < settings.duration_s:
+        kind = rng.choice(KINDS)
+        for turn in range(3 if rng.random() < 0.15 else 1):
+            begins = at + turn * rng.uniform(0.2, 1.5)
+            faults.append(
+                Fault(kind, begins, rng.uniform(0.3, 4.0), rng.getrandbits(16))
+            )
+        at += rng.expovariate(settings.faults_per_s)
+    return sorted(faults, key=lambda fault: fault.at)
+
+
+class Faults:
+    """Does faults, and keeps which times they disturb.
+
+    Parameters
+    ----------
+    world : World
+    vms : list of Vm
+    """
+
+    def __init__(self, world: World, vms: list[Vm]):
+        self.world = world
+        self.vms = vms
+        self.disturbances: list[Disturbance] = []
+
+    async def run(self, plan: list[Fault]):
+        """Do all faults of a plan, each in its time."""
+        began_at = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            for fault in plan:
+                await trio.sleep_until(began_at + fault.at)
+                nursery.start_soon(getattr(self, fault.kind), fault)
+
+    async def _during(self, fault: Fault, *scopes: str):
+        """Wait for as long as a fault lasts, as a disturbance of its scopes."""
+        now = trio.current_time()
+        noted = [Disturbance(fault.kind, scope, now) for scope in scopes]
+        self.disturbances += noted
+        await trio.sleep(fault.for_s)
+        return noted
+
+    def _end(self, noted: list[Disturbance]):
+        for one in noted:
+            one.ended_at = trio.current_time()
+
+    def _vm(self, fault: Fault) -> Vm:
+        return self.vms[fault.number % len(self.vms)]
+
+    def _target(self, fault: Fault) -> Target:
+        return self.world.targets[fault.number % len(self.world.targets)]
+
+    # The store.
+
+    async def store_down(self, fault: Fault):
+        """Answer all calls with 503."""
+        await self._store_answers(fault, "busy")
+
+    async def store_silent(self, fault: Fault):
+        """Answer no call."""
+        await self._store_answers(fault, "silent")
+
+    async def _store_answers(self, fault: Fault, how: str):
+        self.world.store.answers = how
+        noted = await self._during(fault, "store")
+        self.world.store.answers = "yes"
+        self._end(noted)
+
+    async def store_slow(self, fault: Fault):
+        """Delay all that passes between VMs and the store."""
+        for vm in self.vms:
+            vm.store.delay_s = 0.2
+        noted = await self._during(fault, "store")
+        for vm in self.vms:
+            vm.store.delay_s = 0.0
+        self._end(noted)
+
+    async def store_loses_answers(self, fault: Fault):
+        """Do writes and never answer them."""
+        self.world.store.loses_answers = True
+        noted = await self._during(fault, "store")
+        self.world.store.loses_answers = False
+        self._end(noted)
+
+    async def store_forgets(self, fault: Fault):
+        """Forget the history, so that watches end with 410."""
+        self.world.store.forget_history()
+        self._end(await self._during(fault, "store"))
+
+    async def store_turns_away(self, fault: Fault):
+        """Reset one VM's connections to the store, and refuse new ones."""
+        vm = self._vm(fault)
+        vm.store.accepts = False
+        vm.store.reset_all()
+        noted = await self._during(fault, vm.name)
+        vm.store.heal()
+        self._end(noted)
+
+    async def store_cut_one_way(self, fault: Fault):
+        """Let calls reach the store, and no answer come back."""
+        vm = self._vm(fault)
+        vm.store.backward = False
+        noted = await self._during(fault, vm.name)
+        vm.store.heal()
+        self._end(noted)
+
+    # Targets.
+
+    async def target_silent(self, fault: Fault):
+        """Let nothing pass to and from a target; connections stay open."""
+        target = self._target(fault)
+        target.door.forward = target.door.backward = False
+        noted = await self._during(fault, target.instance)
+        target.door.heal()
+        self._end(noted)
+
+    async def target_slow(self, fault: Fault):
+        """Delay what passes to and from a target."""
+        target = self._target(fault)
+        target.door.delay_s = 0.3
+        noted = await self._during(fault, target.instance)
+        target.door.heal()
+        self._end(noted)
+
+    async def target_resets(self, fault: Fault):
+        """Reset a target's connections, again and again."""
+        target = self._target(fault)
+        noted = await self._during(Fault(fault.kind, 0, 0, 0), target.instance)
+        until = trio.current_time() + fault.for_s
+        while trio.current_time() < until:
+            target.door.reset_all()
+            await trio.sleep(0.2)
+        self._end(noted)
+
+    async def target_spoils(self, fault: Fault):
+        """Have a target's next answers go wrong."""
+        target = self._target(fault)
+        rng = random.Random(fault.number)
+        target.spoils += [rng.choice(SPOILS) for _ in range(6)]
+        self._end(await self._during(fault, target.instance))
+
+    async def target_leaves(self, fault: Fault):
+        """Drain a target, end it, and have it come back cold."""
+        target = self._target(fault)
+        if target.leaving_at is not None:
+            return
+        self.world.register(target, state="draining")
+        target.leaving_at = trio.current_time()
+        await trio.sleep(4.0)
+        await self._away(target, fault)
+
+    async def target_crashes(self, fault: Fault):
+        """End a target at once; its entry goes some time later."""
+        target = self._target(fault)
+        if target.leaving_at is None:
+            await self._away(target, fault)
+
+    async def _away(self, target: Target, fault: Fault):
+        target.door.accepts = False
+        target.door.reset_all()
+        noted = await self._during(fault, target.instance)
+        with_entry = self.world.store.objects["servers"].get(target.instance)
+        if with_entry:
+            self.world.store.delete("servers", target.instance)
+        await trio.sleep(0.5)
+        target.door.heal()
+        target.leaving_at = None
+        self.world.register(
+            target, warmupLeft="500ms", born=1796000000000 + fault.number
+        )
+        self._end(noted)
+
+    # VMs.
+
+    async def vm_pause(self, fault: Fault):
+        """Stop a process for a while."""
+        vm = self._vm(fault)
+        vm.send(signal.SIGSTOP)
+        noted = await self._during(fault, vm.name)
+        vm.send(signal.SIGCONT)
+        self._end(noted)
+
+    async def vm_kill(self, fault: Fault):
+        """Kill a process; it is started again."""
+        vm = self._vm(fault)
+        vm.kill()
+        self._end(await self._during(fault, vm.name))
+
+    async def many_killed(self, fault: Fault):
+        """Kill half of all processes at once."""
+        hit = self.vms[fault.number % 2 :: 2]
+        for vm in hit:
+            vm.kill()
+        self._end(await self._during(fault, *(vm.name for vm in hit)))
+
+    async def vm_stop(self, fault: Fault):
+        """Stop a process as planned; it is started again."""
+        vm = self._vm(fault)
+        noted = [Disturbance(fault.kind, vm.name, trio.current_time())]
+        self.disturbances += noted
+        await vm.stop()
+        self._end(noted)
+
+    async def vm_hup(self, fault: Fault):
+        """Change a settings file, with a signal or without."""
+        vm = self._vm(fault)
+        vm.change_settings()
+        if fault.number % 3:
+            vm.send(signal.SIGHUP)
+
+    # The operator.
+
+    async def key_withdrawn(self, fault: Fault):
+        """Replace a workspace's key."""
+        self.world.drop_key(LARGE if fault.number % 3 else SMALL)
+
+    async def route_changed(self, fault: Fault):
+        """Add a route, or drop it."""
+        self.world.change_route(f"extra-{fault.number % 2}")
+
+    async def configurations(self, fault: Fault):
+        """Write configurations in quick succession."""
+        for _ in range(8):
+            self.world.write_configuration()
+            await trio.sleep(0.1)
+
+    async def domain_evacuated(self, fault: Fault):
+        """Evacuate a failure domain and take it back."""
+        domains = self.world.settings.domains
+        name = f"domain-{fault.number % domains}"
+        evacuations = self.world.store.objects.get("evacuations", {})
+        if name in evacuations:
+            return
+        self.world.store.put("evacuations", name, {})
+        await trio.sleep(max(2.0, fault.for_s))
+        self.world.store.delete("evacuations", name)
--- /dev/null
+++ b/tests/platform/soak/proxy.py
@@ -0,0 +1,96 @@
+"""A loopback proxy that delays, silences, cuts one way or resets connections."""
+
+import contextlib
+
+import trio
+from attrs import define, field
+
+SOCKET_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError, OSError)
+PIECE_BYTES = 65536
+
+
+@define
+class Proxy:
+    """One listening address in front of another.
+
+    Attributes
+    ----------
+    upstream : str
+        ``IP:PORT`` that connections are passed to.
+    delay_s : float
+        Added to each piece, each way.
+    forward, backward : bool
+        Whether bytes pass towards upstream, and back.
+    accepts : bool
+        False resets each new connection.
+    """
+
+    upstream: str
+    address: str = ""
+    delay_s: float = 0.0
+    forward: bool = True
+    backward: bool = True
+    accepts: bool = True
+    open_streams: set = field(factory=set)
+    changed: trio.Event = field(factory=trio.Event)
+
+    def heal(self):
+        """Let everything pass again."""
+        self.delay_s, self.forward, self.backward, self.accepts = 0.0, True, True, True
+        self.wake()
+
+    def wake(self):
+        """Have held bytes look again whether they may pass."""
+        self.changed.set()
+        self.changed = trio.Event()
+
+    def reset_all(self):
+        """Reset each open connection."""
+        for stream in list(self.open_streams):
+            with contextlib.suppress(OSError):
+                stream.socket.close()
+
+    async def serve(self, stream):
+        """Pass one connection on until either side ends it."""
+        if not self.accepts:
+            await trio.aclose_forcefully(stream)
+            return
+        host, _, port = self.upstream.rpartition(":")
+        try:
+            other = await trio.open_tcp_stream(host, int(port))
+        except OSError:
+            await trio.aclose_forcefully(stream)
+            return
+        self.open_streams |= {stream, other}
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._pass, stream, other, True, nursery.cancel_scope)
+            nursery.start_soon(self._pass, other, stream, False, nursery.cancel_scope)
+        for one in (stream, other):
+            self.open_streams.discard(one)
+            await trio.aclose_forcefully(one)
+
+    async def _pass(self, source, sink, is_forward: bool, scope):
+        with contextlib.suppress(*SOCKET_ERRORS):
+            while data := await source.receive_some(PIECE_BYTES):
+                if self.delay_s:
+                    await trio.sleep(self.delay_s)
+                while not (self.forward if is_forward else self.backward):
+                    await self.changed.wait()
+                await sink.send_all(data)
+        scope.cancel()
+
+
+@contextlib.asynccontextmanager
+async def running_proxy(upstream: str):
+    """Serve a proxy on loopback for the length of a block."""
+    proxy = Proxy(upstream)
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1", backlog=512)
+    proxy.address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_serve, proxy, listeners)
+        yield proxy
+        nursery.cancel_scope.cancel()
+
+
+async def _serve(proxy: Proxy, listeners):
+    await trio.serve_listeners(proxy.serve, listeners)
--- a/tests/platform/target_standin.py
+++ b/tests/platform/target_standin.py
@@ -50,6 +50,10 @@
     connections: int = 0
     address: str = ""
 
+    def body_for(self, headers: dict[str, str]) -> bytes:
+        """Return the body of the answer to a request."""
+        return self.body
+
     async def serve_connection(self, stream):
         """Serve one connection until it ends."""
         self.connections += 1
@@ -82,6 +86,7 @@
 
     async def _answer(self, stream, connection, headers) -> bool:
         how = self.spoils.pop(0) if self.spoils else ""
+        whole = self.body_for(headers)
         seal = [("Server-Seal", f"seal-{self.instance}")]
         if how == "reset":
             _reset_on_close(stream)
@@ -90,7 +95,7 @@
             await stream.send_all(b"\x00\x01 what is this\r\n\r\n")
             return False
         if how in ("unframed", "unframed reset", "cut"):
-            await self._send_loose(stream, headers["request-id"], how)
+            await self._send_loose(stream, headers["request-id"], how, whole)
             return False
         if how == "truncated":
             head = f"HTTP/1.1 200 OK\r\nRequest-Id: {headers['request-id']}\r\n"
@@ -105,17 +110,17 @@
         if how == "unsigned":
             seal = []
         status = 500 if how == "fails" else 200
-        await self._reply(stream, connection, status, headers, self.body, seal)
+        await self._reply(stream, connection, status, headers, whole, seal)
         if how == "after":
             await stream.send_all(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad")
         return True
 
-    async def _send_loose(self, stream, request_id, how):
+    async def _send_loose(self, stream, request_id, how, whole):
         """Send an answer whose end only the connection shows."""
         head = f"HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\nServer-Seal: s\r\n"
         if how == "cut":
-            head += f"Content-Length: {len(self.body)}\r\n"
-        body = self.body if how == "unframed" else self.body[: len(self.body) // 2]
+            head += f"Content-Length: {len(whole)}\r\n"
+        body = whole if how == "unframed" else whole[: len(whole) // 2]
         await stream.send_all((head + "\r\n").encode() + body)
         if how == "unframed reset":
             # Let the bytes arrive; a reset at once would discard them.
--- a/tests/platform/test_daemon.py
+++ b/tests/platform/test_daemon.py
@@ -11,60 +11,12 @@
 import trio
 
 from plantainshed_http.errors import HttpError
+from tests.platform.daemon_support import filled_template, free_ports
 from tests.platform.platform_support import HOST, KEY, configuration, entry, send
 from tests.platform.store_standin import StoreStandin, running_store
 from tests.platform.target_standin import TargetStandin, running_target
 from tests.support import on_real_clock
 
-TEMPLATE = Path(__file__).parents[2] / "deploy" / "gateway.ini"
-FIELDS = {
-    "nodeName": "edge-mil-a-1",
-    "zone": "mil-a",
-    "region": "lombardia",
-    "ip": "127.0.0.1",
-    "seeds": "",
-    "bounds.grace": "2s",
-    "bounds.ttl_max": "5s",
-    "bounds.retryBudgetRatio": "0.2",
-    "bounds.budgetSlack": "64",
-    "bounds.budgetWindow": "10s",
-    "bounds.quotaWindow": "5s",
-    "bounds.quotaOver": "0.1",
-    "bounds.quotaSlack": "20",
-    "bounds.coldOver": "1.5",
-    "bounds.coldSlack": "5",
-}
-
-
-def filled_template(store: str, ports: list[int], **fields) -> str:
-    """Fill in the template as the platform does."""
-    text = TEMPLATE.read_text()
-    text = text.replace(
-        "{{#zones}}\n{{@}} = {{.}}\n{{/zones}}\n", "mil-a = lombardia\n"
-    )
-    values = {**FIELDS, "platform.addr": store, **fields}
-    for name, port in zip(
-        ("listen.front", "listen.ready", "listen.directory", "listen.control"),
-        ports,
-        strict=False,
-    ):
-        values[name] = f"127.0.0.1:{port}"
-    values["internalPortRange.0"] = str(ports[4])
-    for name, value in values.items():
-        text = text.replace("{{" + name + "}}", value)
-    return text.replace(":9464", f":{ports[5]}")
-
-
-async def free_ports(count: int) -> list[int]:
-    """Return ports that nobody listens on."""
-    listeners = [
-        (await trio.open_tcp_listeners(0, host="127.0.0.1"))[0] for _ in range(count)
-    ]
-    ports = [listener.socket.getsockname()[1] for listener in listeners]
-    for listener in listeners:
-        await listener.aclose()
-    return ports
-
 
 class Daemon:
     """The program as a process of its own, against stand-ins."""
