Decode each failure domain's news once, and uses of quotas by hand

Of 309 charged seconds in 77 VMs some half was control: a bundle of five domains took 2.8 ms to decode and came four times a second, a heartbeat with 80 uses 0.33 ms and came 24 times.

Uses are encoded and decoded by hand (heartbeat 176 and 332 us, now 91 and 178); news in a bundle is decoded only if it is newer than what is known and the other speaker has not told it within 0.9 s (bundle 2.8 ms, now 0.28 plus 0.36 for each news that is taken); quotas that a VM neither asks for nor holds are not told.

--- a/packages/gateway/plantainshed_gateway/datagrams.py
+++ b/packages/gateway/plantainshed_gateway/datagrams.py
@@ -10,7 +10,7 @@
 import orjson
 from attrs import frozen
 
-from .heartbeats import Bundle, DomainNews, Heartbeat
+from .heartbeats import Bundle, DomainNews, Heartbeat, Use, UseSummary
 
 
 @frozen
@@ -76,6 +76,23 @@
 )
 
 
+# Uses of quotas are most of each message: 80 of them by hand take a fifth of the
+# converter's 0.3 ms, and each VM decodes some thirty such messages a second.
+_CONVERTER.register_unstructure_hook(
+    Use, lambda use: (use.demand, use.share, use.level)
+)
+_CONVERTER.register_unstructure_hook(
+    UseSummary,
+    lambda use: (use.demand, use.share, use.kept, use.level, use.lender),
+)
+_CONVERTER.register_structure_hook(Bundle, lambda fields, _: _bundle(fields))
+_CONVERTER.register_structure_hook_func(
+    lambda kind: kind == dict[str, Use], lambda fields, _: _by_name(fields, _use)
+)
+_CONVERTER.register_structure_hook_func(
+    lambda kind: kind == dict[str, UseSummary],
+    lambda fields, _: _by_name(fields, _use_summary),
+)
 # What the converter raises on fields of another shape than a message's.
 _NOT_A_MESSAGE = (
     cattrs.BaseValidationError,
@@ -86,6 +103,53 @@
 )
 
 
+@frozen
+class PackedNews:
+    """News as it came in a bundle: most is known already and not decoded.
+
+    Parameters
+    ----------
+    fields : list
+        Of a `DomainNews`, by position.
+    """
+
+    fields: list
+
+    @property
+    def failure_domain(self) -> str:
+        """Whose news it is."""
+        return self.fields[0]
+
+    @property
+    def speaker(self) -> str:
+        """VM that told it."""
+        return self.fields[2]
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Incarnation and number."""
+        return self.fields[3], self.fields[4]
+
+    def unpack(self) -> DomainNews:
+        """Return the news, or raise `ValueError`."""
+        try:
+            return _CONVERTER.structure(self.fields, DomainNews)
+        except _NOT_A_MESSAGE as error:
+            raise ValueError(f"not news of a failure domain: {error!r}") from error
+
+
+def _bundle(fields) -> Bundle:
+    """Return a bundle whose news can be told apart without being decoded."""
+    (packed,) = fields
+    news = tuple(PackedNews(list(item)) for item in packed)
+    for item in news:
+        if not (isinstance(item.failure_domain, str) and isinstance(item.speaker, str)):
+            raise TypeError("news must name a failure domain and its speaker")
+        if not all(isinstance(number, int) for number in item.order):
+            raise TypeError("news must have whole numbers")
+    return Bundle(news)
+
+
 def encode(message: Message) -> bytes:
     """Return a message's bytes."""
     data = orjson.dumps([_TAG_OF[type(message)], _CONVERTER.unstructure(message)])
@@ -103,6 +167,22 @@
         raise ValueError(f"not a message between VMs: {error!r}") from error
 
 
+def _by_name(fields, decode_value) -> dict:
+    return {str(name): decode_value(value) for name, value in fields.items()}
+
+
+def _use(value) -> Use:
+    demand, share, level = value
+    return Use(float(demand), float(share), float(level))
+
+
+def _use_summary(value) -> UseSummary:
+    demand, share, kept, level, lender = value
+    return UseSummary(
+        float(demand), float(share), float(kept), float(level), str(lender)
+    )
+
+
 def _decompressed(data: bytes) -> bytes:
     if not data.startswith(ZLIB_START):
         return data
--- a/packages/gateway/plantainshed_gateway/gateway.py
+++ b/packages/gateway/plantainshed_gateway/gateway.py
@@ -208,8 +208,7 @@
         elif isinstance(message, DomainNews):
             await self._on_news(message)
         elif isinstance(message, Bundle):
-            for news in message.news:
-                self._take_news(news)
+            self._take_bundle(message)
         elif message.failure_domain != self.context.settings.failure_domain:
             # Only a VM that knows nobody sends its heartbeat so far.
             self.members.note_listed(message.vm, ip, message.failure_domain)
@@ -257,6 +256,16 @@
             if self.speakers.is_urgent(news):
                 await self.peers.pass_on()
 
+    def _take_bundle(self, bundle: Bundle):
+        for packed in bundle.news:
+            told_by = packed.failure_domain, packed.speaker, packed.order
+            if not self.members.wants_news(*told_by):
+                continue
+            try:
+                self._take_news(packed.unpack())
+            except ValueError as error:
+                self.log.event("news not understood", problem=str(error))
+
     def _take_news(self, news: DomainNews) -> bool:
         if not self.members.take_news(news):
             return False
--- a/packages/gateway/plantainshed_gateway/heartbeats.py
+++ b/packages/gateway/plantainshed_gateway/heartbeats.py
@@ -6,6 +6,7 @@
 """
 
 from enum import StrEnum
+from typing import Any
 
 from attrs import field, frozen
 
@@ -170,6 +171,12 @@
 
 @frozen
 class Bundle:
-    """News of several failure domains, passed on inside one."""
+    """News of several failure domains, passed on inside one.
 
-    news: tuple[DomainNews, ...]
+    Parameters
+    ----------
+    news : tuple
+        `DomainNews`; as it was received, still in the form of a datagram.
+    """
+
+    news: tuple[Any, ...]
--- a/packages/gateway/plantainshed_gateway/members.py
+++ b/packages/gateway/plantainshed_gateway/members.py
@@ -21,6 +21,9 @@
 # The same for other domains, whose news comes once a second and is passed on
 # within half of one. Look-ups must not name a VM that was killed 6 s ago.
 FAR_ALIVE_S = 3.8
+# Time after a domain's news in which that of its other speaker is left aside:
+# a little less than the second between two of one speaker's.
+RECENT_S = 0.9
 # How long a VM that was listed, and not heard yet, counts as about to be: its
 # first heartbeat comes within what a start and the news of its domain take.
 EXPECTED_S = 4.0
@@ -86,6 +89,11 @@
     heard_at: float
     order: dict[str, tuple[int, int]] = field(factory=dict)
 
+    @property
+    def is_recent(self) -> bool:
+        """Whether other news of it than its speaker's next need not be taken."""
+        return trio.current_time() - self.heard_at < RECENT_S
+
     @property
     def is_fresh(self) -> bool:
         """Whether the domain was heard of a moment ago."""
@@ -167,21 +175,37 @@
         return True
 
     def take_news(self, news: DomainNews) -> bool:
-        """Take in another domain's news; tell whether it is newer than known."""
-        if news.failure_domain == self.own.failure_domain:
+        """Take in another domain's news; tell whether it is newer than known.
+
+        Whoever has it packed asks `wants_news` first, which spares decoding it.
+        """
+        order = news.incarnation, news.number
+        if not self.wants_news(news.failure_domain, news.speaker, order):
             return False
         known = self.far.get(news.failure_domain)
-        order = known.order if known else {}
-        if (news.incarnation, news.number) <= order.get(news.speaker, (-1, -1)):
-            return False
-        order[news.speaker] = news.incarnation, news.number
-        self.far[news.failure_domain] = FarDomain(news, trio.current_time(), order)
+        orders = known.order if known else {}
+        orders[news.speaker] = order
+        self.far[news.failure_domain] = FarDomain(news, trio.current_time(), orders)
         for summary in news.vms:
             if summary.vm != self.own.vm:
                 beat = _beat_of(summary, news)
                 self._take(beat, summary.ip, summary.age_s, FAR_ALIVE_S)
         return True
 
+    def wants_news(
+        self, failure_domain: str, speaker: str, order: tuple[int, int]
+    ) -> bool:
+        """Tell whether a domain's news is newer than what is known."""
+        if failure_domain == self.own.failure_domain:
+            return False
+        known = self.far.get(failure_domain)
+        if known is None:
+            return True
+        if known.is_recent and known.news.speaker != speaker:
+            # Its other speaker has just told the same; one in time is enough.
+            return False
+        return order > known.order.get(speaker, (-1, -1))
+
     def forget_gone(self) -> list[str]:
         """Forget VMs that have long been silent; return their names."""
         gone = [vm for vm, member in self.table.items() if member.is_forgotten]
--- a/packages/gateway/plantainshed_gateway/quota.py
+++ b/packages/gateway/plantainshed_gateway/quota.py
@@ -250,11 +250,14 @@
             demand.decay()
         rates = {name: round(demand.rate, 2) for name, demand in self.demands.items()}
         self._announced.append((trio.current_time(), rates))
+        # What is neither asked for nor held here need not be told: with 80 VMs
+        # and 80 workspaces that is more than half.
         return {
             name: Use(
                 rates.get(name, 0.0), round(bucket.share, 4), round(bucket.level, 1)
             )
             for name, bucket in self.buckets.items()
+            if bucket.share > 0 or rates.get(name)
         }
 
 
--- a/tests/gateway/fleet_support.py
+++ b/tests/gateway/fleet_support.py
@@ -101,7 +101,9 @@
             if receiver.members.take_news(message):
                 receiver.speakers.note_to_pass_on(message)
         elif isinstance(message, Bundle):
-            for news in message.news:
-                receiver.members.take_news(news)
+            for packed in message.news:
+                told_by = packed.failure_domain, packed.speaker, packed.order
+                if receiver.members.wants_news(*told_by):
+                    receiver.members.take_news(packed.unpack())
         else:
             receiver.members.take(message, sender.ip)
