--- a/packages/gateway/plantainshed_gateway/placement.py
+++ b/packages/gateway/plantainshed_gateway/placement.py
@@ -114,7 +114,7 @@
         cache_key = (object_key, call.pool, call.home_regions)
         cached = self._cache.get(cache_key)
         # Weights of new targets grow in steps of a second; while none does, an
-        # order holds until the targets change. Making one takes 0.25 ms with 128.
+        # order holds until the targets change: making one takes 0.66 ms with 128.
         now = trio.current_time()
         at = int(now) if now < self.registry.ramps_until + 1.0 else 0
         generation = self.registry.generation
