--- a/tests/platform/soak/world.py
+++ b/tests/platform/soak/world.py
@@ -68,6 +68,8 @@
     # When a key or a route's prefix was taken away, as the store answered.
     revoked_at: dict[str, float] = field(factory=dict)
     dropped_at: dict[str, float] = field(factory=dict)
+    # When a key was first in a configuration.
+    issued_at: dict[str, float] = field(factory=dict)
     extra: set[str] = field(factory=set)
 
     def write_configuration(self):
@@ -100,6 +102,7 @@
         self.keys[workspace] = [f"{old.partition('-')[0]}-{self.version}"]
         self.write_configuration()
         self.revoked_at[old] = trio.current_time()
+        self.issued_at[self.keys[workspace][-1]] = trio.current_time()
 
     def change_route(self, name: str):
         """Add a route, or drop it if it is there."""
