Write a line for each step of a stop, and when an error ends the process

Cause: a stopping process wrote two lines, at its first and its last step, and an unhandled error went to standard error only. Three explanations of cut requests (ended by a signal, stopped too early, ended by an error) left the same lines. Now each step is a line with the requests in flight, and an error is one too; a process whose lines end without either was ended from outside. No decision is changed. Tests: the steps in their order, and the line of an error. Both failed before.

--- a/packages/gateway/plantainshed_gateway/daemon.py
+++ b/packages/gateway/plantainshed_gateway/daemon.py
@@ -49,7 +49,12 @@
         incarnation = time.time_ns() // 1_000_000
         context = Context(settings, make_surroundings(settings), log, incarnation)
         log.event("start", incarnation=incarnation, settings=settings_path)
-        await _Daemon(Gateway(context), settings_path).run()
+        try:
+            await _Daemon(Gateway(context), settings_path).run()
+        except Exception:
+            # Without a last line, an end by an error looks like an end by a signal.
+            log.event("ended by error", traceback=traceback.format_exc())
+            raise
         log.event("stop", dropped_lines=log.dropped)
 
 
@@ -135,12 +140,17 @@
         began_at = trio.current_time()
         self.stopping.is_announced = True
         await self.gateway.announce_leaving()
+        self._log_stopping("leaving announced", within_s=within_s)
         await trio.sleep(accept_s(within_s))
         self.stopping.set()
+        self._log_stopping("no new connections")
         with trio.move_on_at(began_at + LAST_PART * within_s) as scope:
             await self.closed.wait()
-        if scope.cancelled_caught:
-            self.log.event("stopped late", in_flight=self.gateway.serving.in_flight)
+        self._log_stopping("stopped late" if scope.cancelled_caught else "callers gone")
+
+    def _log_stopping(self, step: str, **more):
+        """Write each step, so that the lines show in which one a process ended."""
+        self.log.event(step, in_flight=self.gateway.serving.in_flight, **more)
 
     # Settings.
 
--- a/tests/platform/test_daemon.py
+++ b/tests/platform/test_daemon.py
@@ -1,6 +1,7 @@
 import contextlib
 import os
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -139,6 +140,21 @@
             self.assertEqual(answers[0][0], 200)
             self.assertEqual(await daemon.process.wait(), 0)
 
+    @on_real_clock
+    async def test_lines_tell_in_which_step_a_process_ended(self):
+        """Lines that end in the middle of a stop do not say what ended it.
+
+        A fault of the program, a stop that was over early and an end from
+        outside looked the same: no line after `stop requested`.
+        """
+        async with running_daemon() as daemon:
+            daemon.process.send_signal(signal.SIGTERM)
+            await daemon.until_line("stop")
+            steps = [line["message"] for line in daemon.lines]
+            steps = steps[steps.index("stop requested") :]
+            expected = ["stop requested", "leaving announced", "no new connections"]
+            self.assertEqual(steps, [*expected, "callers gone", "stop"])
+
 
 class TestReload(unittest.TestCase):
     @on_real_clock
@@ -196,3 +212,24 @@
             )
         self.assertEqual(ended.returncode, 2)
         self.assertIn("[failure_domains]", ended.stderr)
+
+    @on_real_clock
+    async def test_end_by_an_error_is_a_line_too(self):
+        """A traceback on standard error is not where the lines are looked for."""
+        ports = await free_ports(6)
+        with tempfile.TemporaryDirectory() as folder, socket.socket() as taken:
+            taken.bind(("127.0.0.1", ports[0]))
+            taken.listen()
+            path = Path(folder) / "gateway.ini"
+            path.write_text(filled_template("127.0.0.1:9", ports))
+            ended = await trio.run_process(
+                [sys.executable, "-m", "plantainshed_platform"],
+                env={**os.environ, "PLANTAINSHED_NODE_FILE": str(path)},
+                capture_stdout=True,
+                capture_stderr=True,
+                check=False,
+            )
+        last = orjson.loads(ended.stdout.splitlines()[-1])
+        self.assertEqual(last["message"], "ended by error")
+        self.assertIn("Address already in use", last["traceback"])
+        self.assertEqual(ended.returncode, 1)
