Test that changed settings cut no request of a VM that stops; it fails

Callers of a VM that drains get neither an answer nor a refusal when its settings change. The test does it with the real process: SIGTERM while a target works on a booking, then SIGHUP. On this code the caller's connection is closed ('HttpError') in the instant of the second signal, each time.

--- a/tests/platform/test_daemon.py
+++ b/tests/platform/test_daemon.py
@@ -39,6 +39,11 @@
             *whole, rest = (rest + data).split(b"\n")
             self.lines.extend(orjson.loads(line) for line in whole)
 
+    async def until_running(self):
+        """Wait until a target works on a request."""
+        while not self.targets[0].running:
+            await trio.sleep(0.01)
+
     async def ask(self, path="/read/1", method="GET"):
         headers = {"host": HOST, "request-id": "r-1", "affinity-key": "7"}
         headers["authorization"] = f"Bearer {KEY}"
@@ -127,8 +132,7 @@
 
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(ask)
-                while not daemon.targets[0].running:
-                    await trio.sleep(0.01)
+                await daemon.until_running()
                 daemon.process.send_signal(signal.SIGTERM)
                 await daemon.until_line("stop requested")
                 status, _, _ = await send(
@@ -156,6 +160,31 @@
             self.assertEqual(steps, [*expected, "callers gone", "stop"])
 
 
+class TestSignalsWhileStopping(unittest.TestCase):
+    @on_real_clock
+    async def test_settings_that_change_cut_no_request(self):
+        """A VM that drains gets the signal for changed settings.
+
+        Its callers' connections close in that instant, with no answer, though
+        their requests are running at targets; the process writes no line more.
+        """
+        async with running_daemon(takes_s=0.6) as daemon:
+            answers = []
+
+            async def ask():
+                answers.append(await daemon.ask("/book/1", "POST"))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(ask)
+                await daemon.until_running()
+                daemon.process.send_signal(signal.SIGTERM)
+                await daemon.until_line("leaving announced")
+                daemon.process.send_signal(signal.SIGHUP)
+            self.assertEqual(answers[0][0], 200)
+            await daemon.until_line("stop")
+            self.assertEqual(await daemon.process.wait(), 0)
+
+
 class TestReload(unittest.TestCase):
     @on_real_clock
     async def test_taken_over_with_and_without_a_signal(self):
