Keep signals received until a stopping process has ended

What callers saw: a VM that drained closed their connections with neither an answer nor a refusal, in the instant in which its settings changed or the request to stop was repeated.

Cause: the receiver of signals was open only until the first request to stop. Leaving it restored the system's default for SIGHUP and SIGTERM, which ends the process. Class: handling that is bound to one phase of a process, while the event can come in any. Ruled out: a stop that ended early and an error of the program, which now leave lines and left none; memory, by its figures.

Why it holds: one receiver is open from before the first socket until after the last line, and one task obeys it in every state. A hangup is a reload there as anywhere; a repeated request to stop is written down and changes nothing, for to hurry would cut what the first one lets end. SIGKILL remains for those who mean it.

--- a/packages/gateway/plantainshed_gateway/daemon.py
+++ b/packages/gateway/plantainshed_gateway/daemon.py
@@ -5,7 +5,7 @@
 import signal
 import time
 import traceback
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from pathlib import Path
 
 import trio
@@ -35,6 +35,7 @@
 LAST_PART = 0.93
 WATCH_SETTINGS_S = 1.0
 METRICS_PATH = "/metrics"
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 MakeSurroundings = Callable[[Settings], Surroundings]
 
@@ -43,14 +44,16 @@
     """Run a gateway until SIGTERM, then stop without cutting a request."""
     settings = load_settings(settings_path)
     log = DecisionLog(settings.vm, settings.failure_domain)
-    with log.writing():
+    # Held from before the first socket until after the last line: whatever comes
+    # while no receiver is open ends the process at once, with all its requests.
+    with trio.open_signal_receiver(*SIGNALS) as signals, log.writing():
         # Wall clock, but only as an identity: it is compared with nothing but
         # earlier starts of this same VM.
         incarnation = time.time_ns() // 1_000_000
         context = Context(settings, make_surroundings(settings), log, incarnation)
         log.event("start", incarnation=incarnation, settings=settings_path)
         try:
-            await _Daemon(Gateway(context), settings_path).run()
+            await _Daemon(Gateway(context), settings_path).run(signals)
         except Exception:
             # Without a last line, an end by an error looks like an end by a signal.
             log.event("ended by error", traceback=traceback.format_exc())
@@ -65,13 +68,15 @@
         self.settings_path = settings_path
         self.log = gateway.log
         self.stopping = Stopping()
+        self.stop_requested = trio.Event()
         self.closed = trio.Event()
         self.settings_text = _text_of(settings_path)
 
-    async def run(self):
+    async def run(self, signals: AsyncIterator[int]):
         gateway, listen = self.gateway, self.settings.listen
         state = StateHandler(gateway.replicas)
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._obey, signals)
             await self._serve(nursery, listen.ready, gateway.answer_readiness)
             await self._serve(nursery, listen.lookup, gateway.answer_lookup)
             await self._serve(nursery, listen.control, state.handle)
@@ -83,7 +88,7 @@
             # at it again, which takes 20 ms at a time.
             gc.collect()
             gc.freeze()
-            await self._until_told_to_stop()
+            await self.stop_requested.wait()
             await self._stop()
             nursery.cancel_scope.cancel()
 
@@ -125,14 +130,18 @@
 
     # Signals.
 
-    async def _until_told_to_stop(self):
-        signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-        with trio.open_signal_receiver(*signals) as received:
-            async for number in received:
-                if number != signal.SIGHUP:
-                    self.log.event("stop requested", signal=number)
-                    return
+    async def _obey(self, signals: AsyncIterator[int]):
+        """Act on signals, in whichever state they come, until cancelled."""
+        async for number in signals:
+            if number == signal.SIGHUP:
                 self._reload("signal")
+            elif self.stop_requested.is_set():
+                # Whoever asks twice gets the stop that is under way: to hurry
+                # it would cut requests that it lets run to their end.
+                self.log.event("stop requested again", signal=number)
+            else:
+                self.log.event("stop requested", signal=number)
+                self.stop_requested.set()
 
     async def _stop(self):
         """Steer callers away, then end what runs, within the time given."""
--- a/tests/platform/test_daemon.py
+++ b/tests/platform/test_daemon.py
@@ -161,28 +161,51 @@
 
 
 class TestSignalsWhileStopping(unittest.TestCase):
+    """A VM that drains gets a further signal.
+
+    Its callers' connections closed in that instant, with no answer, though their
+    requests ran at targets; the process wrote no line more. The receiver of
+    signals was closed at the first one that asked for a stop, and from then on
+    the system's default held, which ends the process. Evidence: it ended with
+    status -1 after SIGHUP and -15 after SIGTERM, each time, and with none of the
+    lines of an early stop or of an error.
+    """
+
     @on_real_clock
     async def test_settings_that_change_cut_no_request(self):
-        """A VM that drains gets the signal for changed settings.
+        async with running_daemon(takes_s=0.6) as daemon:
+            await self.stop_with(daemon, signal.SIGHUP)
+            self.assertTrue(await daemon.until_line("reload"))
 
-        Its callers' connections close in that instant, with no answer, though
-        their requests are running at targets; the process writes no line more.
-        """
+    @on_real_clock
+    async def test_request_to_stop_that_is_repeated_cuts_no_request(self):
         async with running_daemon(takes_s=0.6) as daemon:
-            answers = []
+            await self.stop_with(daemon, signal.SIGTERM)
+            self.assertTrue(await daemon.until_line("stop requested again"))
 
-            async def ask():
-                answers.append(await daemon.ask("/book/1", "POST"))
+    @on_real_clock
+    async def test_signals_in_series_cut_no_request(self):
+        async with running_daemon(takes_s=0.6) as daemon:
+            hangup, stop = signal.SIGHUP, signal.SIGTERM
+            await self.stop_with(daemon, hangup, hangup, stop, hangup, signal.SIGINT)
 
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(ask)
-                await daemon.until_running()
-                daemon.process.send_signal(signal.SIGTERM)
-                await daemon.until_line("leaving announced")
-                daemon.process.send_signal(signal.SIGHUP)
-            self.assertEqual(answers[0][0], 200)
-            await daemon.until_line("stop")
-            self.assertEqual(await daemon.process.wait(), 0)
+    async def stop_with(self, daemon, *further: int):
+        answers = []
+
+        async def ask():
+            answers.append(await daemon.ask("/book/1", "POST"))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await daemon.until_running()
+            daemon.process.send_signal(signal.SIGTERM)
+            await daemon.until_line("leaving announced")
+            for number in further:
+                daemon.process.send_signal(number)
+                await trio.sleep(0.05)
+        self.assertEqual(answers[0][0], 200)
+        await daemon.until_line("stop")
+        self.assertEqual(await daemon.process.wait(), 0)
 
 
 class TestReload(unittest.TestCase):
