Give each process of tests a loopback address and ports of its own

Seen: 1 of 8 runs of a new test, beside other tests, ended with 'Address already in use'; with 14 runs side by side 8 of 280. Cause: the ports were chosen by binding and letting go, from the range that outgoing connections are given; until the program bound them, another process had got them. With ports below that range, 5 of 280: tests that run side by side choose the same ones. With an address for each process as well: 0 of 280, same command. The demo's way to choose ports is used instead of a second one.

--- a/tests/platform/daemon_support.py
+++ b/tests/platform/daemon_support.py
@@ -1,16 +1,22 @@
 """The daemon's settings, filled in as the platform does."""
 
+import os
 from pathlib import Path
 
-import trio
+from plantainshed.demo.deployment import free_address
+from plantainshed_coordination.addresses import split_address
 
+# A loopback address for each process of tests. Several that run at once would now
+# and then choose the same port between another's choice and its use.
+PID = os.getpid()
+IP = f"127.{100 + (PID >> 16) % 100}.{PID >> 8 & 255}.{1 + PID % 254}"
 TEMPLATE = Path(__file__).parents[2] / "deploy" / "gateway.ini"
 ZONES = "{{#zones}}\n{{@}} = {{.}}\n{{/zones}}\n"
 FIELDS = {
     "nodeName": "edge-mil-a-1",
     "zone": "mil-a",
     "region": "lombardia",
-    "ip": "127.0.0.1",
+    "ip": IP,
     "limits.linkMbps": "1000",
     "seeds": "",
     "bounds.grace": "2s",
@@ -45,12 +51,6 @@
     return text.replace(":9464", f":{ports[5]}")
 
 
-async def free_ports(count: int) -> list[int]:
-    """Return ports that nobody listens on."""
-    listeners = [
-        (await trio.open_tcp_listeners(0, host="127.0.0.1"))[0] for _ in range(count)
-    ]
-    ports = [listener.socket.getsockname()[1] for listener in listeners]
-    for listener in listeners:
-        await listener.aclose()
-    return ports
+def free_ports(count: int) -> list[int]:
+    """Return ports that nobody listens on, nor is given for what it connects."""
+    return [split_address(free_address())[1] for _ in range(count)]
--- a/tests/platform/soak/processes.py
+++ b/tests/platform/soak/processes.py
@@ -114,7 +114,7 @@
 @contextlib.asynccontextmanager
 async def running_vms(settings: SoakSettings, store_address: str, folder: Path):
     """Run all gateways for the length of a block."""
-    ports = await free_ports(6)
+    ports = free_ports(6)
     # Soaks that run at once have each a range of loopback addresses.
     net = 1 + (os.getpid() % 250)
     domains = [f"domain-{n}" for n in range(settings.domains)]
--- a/tests/platform/test_daemon.py
+++ b/tests/platform/test_daemon.py
@@ -14,7 +14,7 @@
 from plantainshed_gateway.daemon import accept_s
 from plantainshed_http.errors import HttpError
 from plantainshed_http.server import STOP_GRACE_S
-from tests.platform.daemon_support import filled_template, free_ports
+from tests.platform.daemon_support import IP, filled_template, free_ports
 from tests.platform.platform_support import HOST, KEY, configuration, entry, send
 from tests.platform.store_standin import StoreStandin, running_store
 from tests.platform.target_standin import TargetStandin, running_target
@@ -27,8 +27,8 @@
     def __init__(self, process, settings: Path, ports: list[int], store, targets):
         self.process = process
         self.settings = settings
-        self.callers, self.ready, self.lookup = (f"127.0.0.1:{p}" for p in ports[:3])
-        self.metrics = f"127.0.0.1:{ports[5]}"
+        self.callers, self.ready, self.lookup = (f"{IP}:{p}" for p in ports[:3])
+        self.metrics = f"{IP}:{ports[5]}"
         self.store = store
         self.targets = targets
         self.lines: list[dict] = []
@@ -79,7 +79,7 @@
         await stack.enter_async_context(running_target(target))
         store.put("servers", "i-0", entry(target))
         store.put("config", "main", configuration())
-        ports = await free_ports(6)
+        ports = free_ports(6)
         settings = folder / "gateway.ini"
         settings.write_text(filled_template(store_address, ports))
         process = await trio.lowlevel.open_process(
@@ -268,9 +268,9 @@
     @on_real_clock
     async def test_end_by_an_error_is_a_line_too(self):
         """A traceback on standard error is not where the lines are looked for."""
-        ports = await free_ports(6)
+        ports = free_ports(6)
         with tempfile.TemporaryDirectory() as folder, socket.socket() as taken:
-            taken.bind(("127.0.0.1", ports[0]))
+            taken.bind((IP, ports[0]))
             taken.listen()
             path = Path(folder) / "gateway.ini"
             path.write_text(filled_template("127.0.0.1:9", ports))
