--- a/packages/gateway/plantainshed_gateway/daemon.py
+++ b/packages/gateway/plantainshed_gateway/daemon.py
@@ -82,7 +82,8 @@
             await self._serve(nursery, listen.control, state.handle)
             await self._serve(nursery, listen.metrics, self._answer_metrics)
             nursery.start_soon(self._serve_callers, listen.callers)
-            nursery.start_soon(gateway.run)
+            # A stop that is asked for at once already tells other VMs.
+            await nursery.start(gateway.run)
             nursery.start_soon(self._watch_settings)
             # What was made at the start lives on; the collector need not look
             # at it again, which takes 20 ms at a time.
--- a/packages/gateway/plantainshed_gateway/gateway.py
+++ b/packages/gateway/plantainshed_gateway/gateway.py
@@ -140,9 +140,10 @@
         """This VM's copies, by collection."""
         return {name: follower.replica for name, follower in self.followers.items()}
 
-    async def run(self):
-        """Run all parts until cancelled."""
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED):
+        """Run all parts until cancelled; started once messages can be sent."""
         async with self.peers.open(), trio.open_nursery() as nursery:
+            task_status.started()
             self._nursery = self.messages.nursery = nursery
             for follower in self.followers.values():
                 nursery.start_soon(follower.run)
--- a/tests/platform/test_daemon.py
+++ b/tests/platform/test_daemon.py
@@ -20,6 +20,20 @@
 from tests.platform.target_standin import TargetStandin, running_target
 from tests.support import on_real_clock
 
+PROGRAM = ("-m", "plantainshed_platform")
+# Runs the program, which gets a signal when it imports the module of a name.
+SIGNALLED_AT_IMPORT = """
+import runpy, signal, sys
+
+class Signalling:
+    def find_spec(self, name, path=None, target=None):
+        if name == sys.argv[1]:
+            signal.raise_signal(int(sys.argv[2]))
+
+sys.meta_path.insert(0, Signalling())
+runpy.run_module("plantainshed_platform", run_name="__main__")
+"""
+
 
 class Daemon:
     """The program as a process of its own, against stand-ins."""
@@ -52,6 +66,8 @@
     async def until_ready(self):
         with trio.fail_after(20):
             while True:
+                if self.process.poll() is not None:
+                    raise ChildProcessError(f"status {self.process.returncode}")
                 with contextlib.suppress(HttpError):
                     status, _, _ = await send(
                         self.ready, "GET", "/plantainshed/ready", {"host": "x"}
@@ -70,7 +86,7 @@
 
 
 @contextlib.asynccontextmanager
-async def running_daemon(reads_lines=True, **target_more):
+async def running_daemon(reads_lines=True, program=PROGRAM, **target_more):
     store = StoreStandin()
     target = TargetStandin("i-0", **target_more)
     async with contextlib.AsyncExitStack() as stack:
@@ -83,7 +99,7 @@
         settings = folder / "gateway.ini"
         settings.write_text(filled_template(store_address, ports))
         process = await trio.lowlevel.open_process(
-            [sys.executable, "-m", "plantainshed_platform"],
+            [sys.executable, *program],
             env={**os.environ, "PLANTAINSHED_NODE_FILE": str(settings)},
             stdout=subprocess.PIPE,
         )
@@ -208,6 +224,43 @@
         self.assertEqual(await daemon.process.wait(), 0)
 
 
+class TestSignalsWhileStarting(unittest.TestCase):
+    """A VM that has just been started anew gets a signal.
+
+    It was told that its settings changed while it loaded its modules, and ended
+    with status -1: it was away for one more start. Told to stop before its
+    sockets were open, it ended with an error. Both came before the program was
+    ready for any signal: the system's default held, and the stop counted on
+    parts that were not running yet.
+    """
+
+    @on_real_clock
+    async def test_settings_that_change_end_no_start(self):
+        for module in ("trio", "plantainshed_gateway.daemon"):
+            program = ("-c", SIGNALLED_AT_IMPORT, module, str(int(signal.SIGHUP)))
+            async with running_daemon(program=program) as daemon:
+                self.assertEqual((await daemon.ask())[0], 200)
+
+    @on_real_clock
+    async def test_told_to_stop_before_it_serves(self):
+        ports = free_ports(6)
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "gateway.ini"
+            seeds = f"127.0.0.2:{ports[3]}"
+            path.write_text(filled_template("127.0.0.1:9", ports, seeds=seeds))
+            process = await trio.lowlevel.open_process(
+                [sys.executable, *PROGRAM],
+                env={**os.environ, "PLANTAINSHED_NODE_FILE": str(path)},
+                stdout=subprocess.PIPE,
+            )
+            first = await process.stdout.receive_some()
+            self.assertIn(b'"message":"start"', first)
+            process.send_signal(signal.SIGTERM)
+            rest = first + b"".join([data async for data in process.stdout])
+            self.assertEqual(await process.wait(), 0, rest)
+        self.assertIn(b'"message":"stop"', rest)
+
+
 class TestReload(unittest.TestCase):
     @on_real_clock
     async def test_taken_over_with_and_without_a_signal(self):
