Go on with the old settings whatever the changed file holds

What callers saw: all requests of a VM cut when its settings file was read in the middle of a write, or held a port of inf or nan. Cause: the look for a changed file read it as text and let the decoding error out; a number was taken if float() took it, and int() then raised. Either error ended the process. Found by going through what can end it beside signals. A change between the first read and the start of the look was also never noticed; the content is now read before it is parsed. Why it holds: bytes are compared, and a number that is not finite is a fault of its field, which a reload reports and a start refuses. Durations cannot be such. Tests: both failed before (UnicodeDecodeError, OverflowError), both pass.

--- a/packages/gateway/plantainshed_gateway/daemon.py
+++ b/packages/gateway/plantainshed_gateway/daemon.py
@@ -42,6 +42,8 @@
 
 async def run_daemon(settings_path: str, make_surroundings: MakeSurroundings):
     """Run a gateway until SIGTERM, then stop without cutting a request."""
+    # Read first: what changes from here on is then seen to differ from it.
+    content = _content_of(settings_path)
     settings = load_settings(settings_path)
     log = DecisionLog(settings.vm, settings.failure_domain)
     # Held from before the first socket until after the last line: whatever comes
@@ -53,7 +55,7 @@
         context = Context(settings, make_surroundings(settings), log, incarnation)
         log.event("start", incarnation=incarnation, settings=settings_path)
         try:
-            await _Daemon(Gateway(context), settings_path).run(signals)
+            await _Daemon(Gateway(context), settings_path, content).run(signals)
         except Exception:
             # Without a last line, an end by an error looks like an end by a signal.
             log.event("ended by error", traceback=traceback.format_exc())
@@ -62,7 +64,7 @@
 
 
 class _Daemon:
-    def __init__(self, gateway: Gateway, settings_path: str):
+    def __init__(self, gateway: Gateway, settings_path: str, content: bytes | None):
         self.gateway = gateway
         self.settings = gateway.context.settings
         self.settings_path = settings_path
@@ -70,7 +72,7 @@
         self.stopping = Stopping()
         self.stop_requested = trio.Event()
         self.closed = trio.Event()
-        self.settings_text = _text_of(settings_path)
+        self.settings_content = content
 
     async def run(self, signals: AsyncIterator[int]):
         gateway, listen = self.gateway, self.settings.listen
@@ -168,11 +170,11 @@
         """Notice a settings file that changed without a signal."""
         while True:
             await trio.sleep(WATCH_SETTINGS_S)
-            if _text_of(self.settings_path) != self.settings_text:
+            if _content_of(self.settings_path) != self.settings_content:
                 self._reload("file changed")
 
     def _reload(self, cause: str):
-        self.settings_text = _text_of(self.settings_path)
+        self.settings_content = _content_of(self.settings_path)
         try:
             settings = load_settings(self.settings_path)
         except SettingsError as error:
@@ -198,7 +200,8 @@
     return await trio.open_tcp_listeners(int(port), host=host, backlog=BACKLOG)
 
 
-def _text_of(path: str) -> str | None:
+def _content_of(path: str) -> bytes | None:
+    # Bytes, for a file that is being written may hold what is no text.
     with contextlib.suppress(OSError):
-        return Path(path).read_text(encoding="utf-8")
+        return Path(path).read_bytes()
     return None
--- a/packages/gateway/plantainshed_gateway/settings.py
+++ b/packages/gateway/plantainshed_gateway/settings.py
@@ -4,6 +4,7 @@
 """
 
 import configparser
+import math
 from pathlib import Path
 
 from attrs import frozen
@@ -191,9 +192,12 @@
     def _number(self, section: str, option: str) -> float:
         text = self._text(section, option)
         try:
-            return float(text)
+            number = float(text)
         except ValueError as error:
             raise self._fault(section, option, f"{text!r} is no number") from error
+        if not math.isfinite(number):
+            raise self._fault(section, option, f"{text!r} is no finite number")
+        return number
 
     def _duration(self, section: str, option: str) -> float:
         try:
--- a/tests/platform/test_daemon.py
+++ b/tests/platform/test_daemon.py
@@ -1,5 +1,6 @@
 import contextlib
 import os
+import re
 import signal
 import socket
 import subprocess
@@ -286,6 +287,39 @@
             self.assertEqual((await daemon.ask())[0], 200)
 
 
+class TestSettingsThatCannotBeRead(unittest.TestCase):
+    """A settings file is seen while it is written, or holds what is no setting.
+
+    The VM ended with an error and cut all its callers' requests: the look for a
+    changed file read bytes as text, and a port of ``inf`` or ``nan`` passed for a
+    number until it was made a whole one. Evidence: the tracebacks.
+    """
+
+    @on_real_clock
+    async def test_bytes_that_are_no_text(self):
+        await self.serves_on(lambda text: b"\xff\xfe" + text)
+
+    @on_real_clock
+    async def test_numbers_that_are_no_ports(self):
+        for number in (b"inf", b"nan", b"1e400"):
+            await self.serves_on(
+                lambda text, number=number: re.sub(
+                    rb"datagram_port = \d+", b"datagram_port = " + number, text
+                )
+            )
+
+    async def serves_on(self, spoil):
+        async with running_daemon() as daemon:
+            whole = daemon.settings.read_bytes()
+            daemon.settings.write_bytes(spoil(whole))
+            line = await daemon.until_line("reload failed")
+            self.assertIn("gateway.ini", line["problem"])
+            self.assertEqual((await daemon.ask())[0], 200)
+            daemon.settings.write_bytes(whole)
+            await daemon.until_line("reload")
+            self.assertEqual((await daemon.ask())[0], 200)
+
+
 class TestStuckReader(unittest.TestCase):
     @on_real_clock
     async def test_unread_output_delays_no_request(self):
