Keep signals from ending the entry daemon in any state

What callers saw: a hangup cut all requests of an entry VM, whenever it came; a further request to stop cut those that a stopping one lets run to their end, and so did the first one where the VM had begun to stop by itself, because another run had replaced it.

Rolling replacements repeat requests to stop; none of them means to cut.

--- a/packages/entry/plantainshed_entry/cli.py
+++ b/packages/entry/plantainshed_entry/cli.py
@@ -39,6 +39,6 @@
         sys.exit(ExitCode.BAD_SETTINGS)
 
 
-def main():
+def run_command():
     """Run the command line."""
     fire.Fire(run, name="plantainshed-entry")
--- a/packages/entry/plantainshed_entry/daemon.py
+++ b/packages/entry/plantainshed_entry/daemon.py
@@ -3,7 +3,9 @@
 import contextlib
 import signal
 import time
+from collections.abc import AsyncIterator
 from functools import partial
+from logging import LoggerAdapter
 
 import trio
 
@@ -27,6 +29,7 @@
 
 LEAVE_TIMEOUT_S = 30.0
 BACKLOG = 512
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
 async def run_daemon(settings: Settings, stop: trio.Event, ready: trio.Event):
@@ -114,18 +117,27 @@
 
 
 async def run_until_signalled(settings: Settings):
-    """Run a daemon until SIGTERM or SIGINT; a second one ends it at once."""
+    """Run a daemon until SIGTERM or SIGINT, then stop without cutting a request."""
     stop, ready = trio.Event(), trio.Event()
-    async with open_plain_nursery() as nursery:
-        nursery.start_soon(_watch_signals, stop, nursery.cancel_scope)
-        await run_daemon(settings, stop, ready)
-        nursery.cancel_scope.cancel()
-
-
-async def _watch_signals(stop: trio.Event, scope: trio.CancelScope):
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            if stop.is_set():
-                scope.cancel()
-                return
+    log = open_log(settings.vm, settings.log_level)
+    # Held for the whole run: whatever comes while no receiver is open ends the
+    # process at once, with all its requests.
+    with trio.open_signal_receiver(*SIGNALS) as signals:
+        async with open_plain_nursery() as nursery:
+            nursery.start_soon(_obey, signals, stop, log)
+            await run_daemon(settings, stop, ready)
+            nursery.cancel_scope.cancel()
+
+
+async def _obey(signals: AsyncIterator[int], stop: trio.Event, log: LoggerAdapter):
+    """Act on signals, in whichever state they come, until cancelled."""
+    async for number in signals:
+        if number == signal.SIGHUP:
+            log.warning("hangup ignored; settings are read at the start only")
+        elif stop.is_set():
+            # To hurry would cut requests that the stop under way lets run to
+            # their end; it may also have begun without a signal.
+            log.info("stop requested again", extra={"signal": number})
+        else:
+            log.info("stop requested", extra={"signal": number})
             stop.set()
