Let a process that has stopped as planned end as one, however often it is told

What is seen: no caller loses anything, but a supervisor that repeats SIGTERM until the process is gone sees it end with status -15, a failed stop, after its last line.

The receiver, when it closes, puts back what was there before it, the system's default, and Python does so again for its own handlers while the interpreter ends.

Why it holds: one block, shared by both daemons, surrounds all that a process does. Before the receiver it leaves a handler that only notes the signal, which is what the receiver puts back, and after it the signals to stop are ignored, which outlasts the interpreter. A signal noted before the receiver is open is raised again inside.

--- a/packages/entry/plantainshed_entry/daemon.py
+++ b/packages/entry/plantainshed_entry/daemon.py
@@ -13,6 +13,7 @@
 from plantainshed_coordination.control import ControlClient, serve_control
 from plantainshed_coordination.identity import Identity
 from plantainshed_coordination.nurseries import open_plain_nursery
+from plantainshed_coordination.signals import open_signals
 from plantainshed_coordination.transport import DatagramTransport
 from plantainshed_http.platform_client import HttpPlatform
 from plantainshed_http.server import Stopping, serve_http
@@ -29,7 +30,6 @@
 
 LEAVE_TIMEOUT_S = 30.0
 BACKLOG = 512
-SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
 async def run_daemon(settings: Settings, stop: trio.Event, ready: trio.Event):
@@ -120,9 +120,7 @@
     """Run a daemon until SIGTERM or SIGINT, then stop without cutting a request."""
     stop, ready = trio.Event(), trio.Event()
     log = open_log(settings.vm, settings.log_level)
-    # Held for the whole run: whatever comes while no receiver is open ends the
-    # process at once, with all its requests.
-    with trio.open_signal_receiver(*SIGNALS) as signals:
+    with open_signals() as signals:
         async with open_plain_nursery() as nursery:
             nursery.start_soon(_obey, signals, stop, log)
             await run_daemon(settings, stop, ready)
--- a/packages/gateway/plantainshed_gateway/daemon.py
+++ b/packages/gateway/plantainshed_gateway/daemon.py
@@ -10,6 +10,7 @@
 
 import trio
 
+from plantainshed_coordination.signals import open_signals
 from plantainshed_http.errors import CallerLeft, HttpError
 from plantainshed_http.server import (
     STOP_GRACE_S,
@@ -35,7 +36,6 @@
 LAST_PART = 0.93
 WATCH_SETTINGS_S = 1.0
 METRICS_PATH = "/metrics"
-SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 MakeSurroundings = Callable[[Settings], Surroundings]
 
@@ -46,9 +46,7 @@
     content = _content_of(settings_path)
     settings = load_settings(settings_path)
     log = DecisionLog(settings.vm, settings.failure_domain)
-    # Held from before the first socket until after the last line: whatever comes
-    # while no receiver is open ends the process at once, with all its requests.
-    with trio.open_signal_receiver(*SIGNALS) as signals, log.writing():
+    with open_signals() as signals, log.writing():
         # Wall clock, but only as an identity: it is compared with nothing but
         # earlier starts of this same VM.
         incarnation = time.time_ns() // 1_000_000
--- a/tests/entry/test_signals.py
+++ b/tests/entry/test_signals.py
@@ -146,6 +146,16 @@
             await running.until_said(b"stopped")
             self.assertEqual(await running.process.wait(), 0)
 
+    @on_real_clock
+    async def test_request_to_stop_repeated_until_the_end_is_no_failure(self):
+        """A supervisor that asks until the process is gone sees a failed stop."""
+        async with running_process() as running:
+            with trio.fail_after(20):
+                while running.process.poll() is None:
+                    running.process.send_signal(signal.SIGTERM)
+                    await trio.sleep(0.001)
+            self.assertEqual(running.process.returncode, 0)
+
     @on_real_clock
     async def test_hangup_ends_no_start(self):
         async with running_process(("-c", SIGNALLED_AT_IMPORT)) as running:
--- a/tests/platform/test_daemon.py
+++ b/tests/platform/test_daemon.py
@@ -206,6 +206,21 @@
             hangup, stop = signal.SIGHUP, signal.SIGTERM
             await self.stop_with(daemon, hangup, hangup, stop, hangup, signal.SIGINT)
 
+    @on_real_clock
+    async def test_request_to_stop_repeated_until_the_end_is_no_failure(self):
+        """A supervisor that asks until the process is gone sees a failed stop.
+
+        All was answered and the last line written; then the system's default
+        held again until the interpreter was gone, and the status was -15.
+        """
+        async with running_daemon() as daemon:
+            with trio.fail_after(20):
+                while daemon.process.poll() is None:
+                    daemon.process.send_signal(signal.SIGTERM)
+                    daemon.process.send_signal(signal.SIGINT)
+                    await trio.sleep(0.001)
+            self.assertEqual(daemon.process.returncode, 0)
+
     async def stop_with(self, daemon, *further: int):
         answers = []
 
