--- a/packages/measure/plantainshed_measure/replay.py
+++ b/packages/measure/plantainshed_measure/replay.py
@@ -4,7 +4,9 @@
 from pathlib import Path
 
 import trio
+from attrs import asdict
 
+from plantainshed_coordination.digests import content_digest
 from plantainshed_entry.in_force import SHIFT_BURST_S
 from plantainshed_model.codec import from_text
 from plantainshed_model.document import Document
@@ -164,9 +166,28 @@
             for target in rig.targets.values()
         ),
         "shed": sum(target.shed for target in rig.targets.values()),
+        "digest": _digest(rig, tally),
     }
 
 
+def _digest(rig: Rig, tally: Tally) -> str:
+    """Return a digest of all that was counted and stored, nothing rounded.
+
+    Two replays of a trace went the same way if their digests are equal. Request
+    ids, which are random, are left out.
+    """
+    counted = (
+        [(name, asdict(counts)) for name, counts in sorted(tally.workspaces.items())],
+        [asdict(bucket) for bucket in tally.admissions.values()],
+        tally.latencies,
+        [(t.address, t.sent_bytes, t.sent_messages) for t in rig.all_transports],
+        [(name, [at for at, _ in t.started]) for name, t in rig.targets.items()],
+        sorted(rig.platform.calls.items()),
+        [(name, item.value) for name, item in rig.platform.objects.items()],
+    )
+    return content_digest(repr(counted).encode())
+
+
 def _false_not_run(tally: Tally, runs: dict[str, int]) -> int:
     answered_later = set()
     return sum(1 for name in set(tally.not_run) - answered_later if runs.get(name))
