Draw the keys of a replay from its seed, so that it repeats

Cause: the rig issued new random keys in each replay. The ids of keys decide into which of four segments each goes; with eight workspaces three or four of them are filled. Each VM fetches segments one after another when it starts, 4 ms each, so that the phase of all it repeats (reports, loans, probes) shifts by 4 ms, and with it which request finds a token lent.

Ruled out: trio's order of tasks (run_deterministically already seeds it, with its hook for tests); order of sets (PYTHONHASHSEED 0, 1 and 2 give one digest once the keys are fixed); the module `random` (seeded; not called in this trace); clocks (only the mock clock's own perf_counter, which it multiplies by its rate of 0); threads (none started); request ids (random still, 159 drawn in this trace, and digests are equal: nothing is ordered by them).

Product code draws keys from `secrets` as before; what makes a key of given digits is a function of its own now, which the rig gives digits drawn from its seed.

--- a/packages/measure/plantainshed_measure/rig.py
+++ b/packages/measure/plantainshed_measure/rig.py
@@ -3,6 +3,7 @@
 import contextlib
 import itertools
 import logging
+import random
 
 import trio
 from attrs import evolve
@@ -19,7 +20,7 @@
 from plantainshed_entry.settings import Seed, Settings
 from plantainshed_model.codec import from_segments, to_segments
 from plantainshed_model.document import Document
-from plantainshed_model.keys import IssuedKey, issue_key
+from plantainshed_model.keys import KEY_ID_BYTES, SECRET_BYTES, IssuedKey, key_of
 from plantainshed_standins.memory_network import MemoryNetwork
 from plantainshed_standins.memory_platform import MemoryPlatform
 
@@ -96,12 +97,11 @@
         VM and failure domain of each.
     policy : Policy
     seed : int
+        Draws the keys and the network's faults.
     """
 
     def __init__(self, document: Document, vms, policy: Policy, seed: int = 1):
-        self.keys: dict[str, IssuedKey] = {
-            item.name: issue_key(item.name) for item in document.workspaces
-        }
+        self.keys = _draw_keys(document, seed)
         entries = tuple(key.entry for key in self.keys.values())
         self.document = evolve(document, keys=entries)
         self.region = {d.name: d.region for d in document.failure_domains}
@@ -284,3 +284,20 @@
             return self.targets[state.target.name].probe()
 
         return probe
+
+
+def _draw_keys(document: Document, seed: int) -> dict[str, IssuedKey]:
+    """Return a key for each workspace, the same ones for the same seed.
+
+    The ids of keys decide into how many segments the document is cut, hence how
+    long each VM reads it at its start, hence the phase of all that it repeats.
+    """
+    source = random.Random(seed)
+    return {
+        item.name: key_of(
+            item.name,
+            source.randbytes(KEY_ID_BYTES).hex(),
+            source.randbytes(SECRET_BYTES).hex(),
+        )
+        for item in document.workspaces
+    }
--- a/packages/model/plantainshed_model/keys.py
+++ b/packages/model/plantainshed_model/keys.py
@@ -37,8 +37,15 @@
 
 def issue_key(workspace: str) -> IssuedKey:
     """Make a new key for a workspace."""
-    key_id = KEY_ID_LETTER + secrets.token_hex(KEY_ID_BYTES)
-    text = f"{KEY_PREFIX}_{key_id}_{secrets.token_hex(SECRET_BYTES)}"
+    return key_of(
+        workspace, secrets.token_hex(KEY_ID_BYTES), secrets.token_hex(SECRET_BYTES)
+    )
+
+
+def key_of(workspace: str, id_digits: str, secret: str) -> IssuedKey:
+    """Return a workspace's key with the given digits in hexadecimal."""
+    key_id = KEY_ID_LETTER + id_digits
+    text = f"{KEY_PREFIX}_{key_id}_{secret}"
     return IssuedKey(text, KeyDigest(key_id, workspace, key_digest(text)))
 
 
