Correct why keys change a replay: by the order of tasks, not by 4 ms

So: one more segment is a few steps more in each VM, each batch of ready tasks draws from the seeded shuffle, and from there all ties are decided otherwise. Conclusion: replays repeat, but a change that adds a step anywhere is one more draw.

--- a/packages/measure/plantainshed_measure/rig.py
+++ b/packages/measure/plantainshed_measure/rig.py
@@ -290,7 +290,8 @@
     """Return a key for each workspace, the same ones for the same seed.
 
     The ids of keys decide into how many segments the document is cut, hence how
-    long each VM reads it at its start, hence the phase of all that it repeats.
+    many steps each VM takes to read it. A step more draws once more from the
+    scheduler's seeded shuffle, and all tasks run in another order from there.
     """
     source = random.Random(seed)
     return {
