Test that replays with each fault of the traces repeat, in both deployments

Seven shortened traces, each kind once, with the chosen policy join the small one in the test of two processes: faults 8 times as quick, two kinds of requests a slice.

The tests notice each source by itself (scratch copy, one change each): scheduler not seeded, both red; keys not seeded, both red; the module `random` not seeded, only the shortened traces are red, since only an outage of the store draws from it.

--- a/tests/measure/test_replay.py
+++ b/tests/measure/test_replay.py
@@ -8,11 +8,32 @@
 import unittest
 from pathlib import Path
 
+from attrs import evolve
+
 from plantainshed_measure.policies import CHOSEN
 from plantainshed_measure.replay import replay
-from plantainshed_measure.trace import Arrivals, Happening, Trace, write_trace
+from plantainshed_measure.trace import (
+    Arrivals,
+    Happening,
+    Trace,
+    read_trace,
+    write_trace,
+)
 
 EXAMPLES = Path("examples").resolve()
+TRACES = Path("traces").resolve()
+# Between them they have every fault of the traces, and both deployments.
+EACH_FAULT = (
+    "cerimonia-domain-cut-off",
+    "cerimonia-region-lost",
+    "cerimonia-shift-rising",
+    "cerimonia-store-down",
+    "maracas-bay-five-times",
+    "maracas-bay-rolling-replacement",
+    "maracas-bay-slow-targets",
+)
+TIMES_SHORTER = 8
+KINDS_A_SLICE = 2
 REQUESTS = [
     Arrivals("cuneo", "calendario", "tor-a", 20),
     Arrivals("milano", "calendario", "mil-a", 20),
@@ -54,23 +75,45 @@
             root = Path(name)
             (root / "examples").symlink_to(EXAMPLES)
             (root / "traces").mkdir()
-            write_trace(root / "traces" / "small.jsonl", SMALL)
+            shorter = [_shorter(read_trace(TRACES / f"{n}.jsonl")) for n in EACH_FAULT]
+            for trace in (SMALL, *shorter):
+                write_trace(root / "traces" / f"{trace.name}.jsonl", trace)
             processes = [_start_measure(root, hash_seed) for hash_seed in (1, 2)]
             first, second = (_figures(process) for process in processes)
+        self.assertEqual(len(first), len(EACH_FAULT) + 1)
         self.assertEqual(first, second)
 
 
+def _shorter(trace: Trace) -> Trace:
+    """Return a trace with its faults in quick succession, and few requests."""
+    happenings = []
+    for item in trace.happenings:
+        arguments = dict(item.arguments)
+        if "seconds" in arguments:
+            arguments["seconds"] /= TIMES_SHORTER
+        happenings.append(
+            evolve(
+                item,
+                t=item.t / TIMES_SHORTER,
+                requests=item.requests[:KINDS_A_SLICE],
+                arguments=arguments,
+            )
+        )
+    length_s = trace.length_s / TIMES_SHORTER
+    return evolve(trace, length_s=length_s, happenings=happenings, limits={})
+
+
 def _start_measure(root: Path, hash_seed: int) -> subprocess.Popen:
     return subprocess.Popen(
         [sys.executable, "-m", "plantainshed_measure", "--root", str(root)]
-        + ["--policy", CHOSEN.name, "--jobs", "1"],
+        + ["--policy", CHOSEN.name, "--jobs", "2"],
         env={**os.environ, "PYTHONHASHSEED": str(hash_seed)},
         stdout=subprocess.PIPE,
         text=True,
     )
 
 
-def _figures(process: subprocess.Popen) -> dict:
+def _figures(process: subprocess.Popen) -> list[dict]:
     printed, _ = process.communicate()
     lines = [line for line in printed.splitlines() if line.startswith("{")]
-    return json.loads(lines[0])
+    return [json.loads(line) for line in lines]
