--- /dev/null
+++ b/tests/coordination/test_removed_budgets.py
@@ -0,0 +1,83 @@
+"""A document takes a budget away while it is being borrowed from or moved.
+
+`Node.run` and the server hold the tasks: an error of one ends the process, and
+with it all requests that it serves.
+"""
+
+import unittest
+
+import trio
+
+from plantainshed_coordination.budgets import BudgetKind, BudgetSpec
+from tests.support import FOUR_VMS, WORKSPACE, PartsFleet, on_mock_clock
+
+# So slow a rate that within a test only a loan brings another token.
+SLOW = BudgetSpec("workspace/comune", BudgetKind.RATE, rate=0.2, burst=8.0)
+TWO_VMS = (("a-1", "a"), ("b-1", "b"))
+SETTLE_S = 8.0
+
+
+class TestRemovedBudgets(unittest.TestCase):
+    @on_mock_clock
+    async def test_while_a_request_borrows(self):
+        for milliseconds in range(0, 200, 10):
+            with self.subTest(removed_after_ms=milliseconds):
+                await self.borrow_while_removed(milliseconds / 1000)
+
+    async def borrow_while_removed(self, after_s: float):
+        fleet = PartsFleet(TWO_VMS, specs=[SLOW])
+        async with fleet.running() as vms:
+            await trio.sleep(SETTLE_S)
+            part = vms["a-1"].holdings.rate(SLOW.name)
+            while part.try_take():
+                pass
+            fleet.network.delay = lambda sender, receiver: 0.02
+
+            async def remove():
+                await trio.sleep(after_s)
+                vms["a-1"].holdings.set_specs([])
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(remove)
+                # Admitted or refused; no other end.
+                await vms["a-1"].lending.take(SLOW.name)
+
+    @on_mock_clock
+    async def test_while_its_parts_are_moved(self):
+        fleet = PartsFleet(FOUR_VMS)
+        async with fleet.running() as vms:
+            await trio.sleep(10)
+            # Answers take a while; parts must move to where requests come.
+            fleet.network.delay = lambda sender, receiver: 0.1
+
+            async def ask():
+                for _ in range(400):
+                    if WORKSPACE.name in vms["b-1"].holdings.parts:
+                        vms["b-1"].holdings.rate(WORKSPACE.name).demand.add(1)
+                    await trio.sleep(0.02)
+
+            async def remove():
+                holder = next(
+                    vm
+                    for vm in vms.values()
+                    if any(r.lease.is_held for r in vm.rebalancers.values()
+                           if r.plan.specs())
+                )
+                seen = []
+                for r in holder.rebalancers.values():
+                    original = r._collect
+
+                    async def collect(falls, *more, original=original):
+                        if falls and not seen:
+                            seen.append(falls)
+                            # As a document that comes into force meanwhile.
+                            holder.holdings.set_specs([])
+                        return await original(falls, *more)
+
+                    r._collect = collect
+                await trio.sleep(10)
+                self.assertTrue(seen)
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(ask)
+                nursery.start_soon(remove)
