Let a fault of the program cost one exchange, not the process

What callers saw: one odd request of anybody cut all requests of a VM: HEAD with a target or body that is refused (a body was sent in answer to HEAD), a look-up of '//[', a revision of 5000 digits asked of another VM.

Cause: errors other than the callers' own left the connection's task and with it the nursery of the process. Only the gateway's handler of callers was guarded. Why it holds: the guard stands in the server, around every exchange and refusal of every address of both daemons; it reports the error, answers 502 if nothing was sent, and closes.

--- a/packages/gateway/plantainshed_gateway/daemon.py
+++ b/packages/gateway/plantainshed_gateway/daemon.py
@@ -11,7 +11,6 @@
 import trio
 
 from plantainshed_coordination.signals import open_signals
-from plantainshed_http.errors import CallerLeft, HttpError
 from plantainshed_http.server import (
     STOP_GRACE_S,
     Exchange,
@@ -96,27 +95,24 @@
     async def _serve(self, nursery, address: str, handler):
         if address:
             listeners = await _listen(address)
-            nursery.start_soon(serve_http, handler, listeners, Stopping())
+            nursery.start_soon(
+                serve_http, handler, listeners, Stopping(), None, self._report
+            )
 
     async def _serve_callers(self, address: str):
         listeners = await _listen(address)
         await serve_http(
-            self._answer_caller, listeners, self.stopping, self.gateway.limits
+            self.gateway.serving.serve,
+            listeners,
+            self.stopping,
+            self.gateway.limits,
+            self._report,
         )
         self.closed.set()
 
-    async def _answer_caller(self, exchange: Exchange):
-        try:
-            await self.gateway.serving.serve(exchange)
-        except (HttpError, trio.BrokenResourceError, trio.ClosedResourceError):
-            raise
-        except Exception:
-            # A fault of this program must cost one request, not the process
-            # and all that it is serving.
-            self.log.event("internal error", traceback=traceback.format_exc())
-            if exchange.started:
-                raise CallerLeft("the answer cannot be completed") from None
-            await exchange.reply(502, [], b"internal error\n")
+    def _report(self, error: Exception):
+        lines = traceback.format_exception(error)
+        self.log.event("internal error", traceback="".join(lines))
 
     async def _answer_metrics(self, exchange: Exchange):
         if exchange.request.target != METRICS_PATH:
--- a/packages/gateway/plantainshed_gateway/peers.py
+++ b/packages/gateway/plantainshed_gateway/peers.py
@@ -6,6 +6,7 @@
 
 import contextlib
 import itertools
+import re
 import socket
 import zlib
 from collections.abc import Awaitable, Callable, Iterable, Iterator
@@ -34,6 +35,7 @@
 # takes 0.2 to 0.4 ms with 80 workspaces.
 MOST_AT_ONCE = 16
 STATE_PATH = "/state/"
+REVISION = re.compile(r"after=([0-9]{1,18})")
 # Time for a copy from a VM in another region, some 100 KB before compression.
 FETCH_TIMEOUT_S = 1.0
 # A VM with a narrow link may give a large configuration to a whole domain: 500
@@ -216,8 +218,8 @@
         if replica is None or not replica.is_known:
             await exchange.reply(404, [], b"no such state here\n")
             return
-        after = query.removeprefix("after=")
-        changes = replica.changes_since(int(after)) if after.isdigit() else None
+        after = REVISION.fullmatch(query)
+        changes = replica.changes_since(int(after[1])) if after else None
         state: dict = {"revision": replica.revision}
         if changes is None:
             state["items"] = [_fields(item) for item in replica.items.values()]
--- a/packages/http/plantainshed_http/server.py
+++ b/packages/http/plantainshed_http/server.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import logging
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 import h11
@@ -26,6 +27,7 @@
 )
 
 Handler = Callable[["Exchange"], Awaitable[None]]
+Report = Callable[[Exception], None]
 STOP_GRACE_S = 0.5
 SOCKET_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError)
 
@@ -74,17 +76,34 @@
             scope.deadline = min(scope.deadline, last_moment)
 
 
+def log_error(error: Exception):
+    """Write an error of the program to the standard log."""
+    logging.getLogger(__name__).error("internal error", exc_info=error)
+
+
 async def serve_http(
     handler: Handler,
     listeners: list[trio.SocketListener],
     stopping: Stopping,
     limits: ConnectionLimits | None = None,
+    report: Report = log_error,
 ):
-    """Serve connections until stopped and all exchanges have ended."""
+    """Serve connections until stopped and all exchanges have ended.
+
+    Parameters
+    ----------
+    handler : callable
+        Answers one exchange.
+    listeners : list of trio.SocketListener
+    stopping : Stopping
+    limits : ConnectionLimits, optional
+    report : callable
+        Told of each error of the program that ended an exchange.
+    """
     limits = limits or ConnectionLimits()
 
     async def serve(stream):
-        await _Connection(stream, handler, stopping, limits).run()
+        await _Connection(stream, handler, stopping, limits, report).run()
 
     async with trio.open_nursery() as connections:
         async with trio.open_nursery() as accepting:
@@ -173,11 +192,13 @@
 
 
 class _Connection:
-    def __init__(self, stream, handler, stopping, limits):
+    def __init__(self, stream, handler, stopping, limits, report):
         self.stream = stream
         self.handler = handler
         self.stopping = stopping
         self.limits = limits
+        self.report = report
+        self.method = b""
         self.unsent = b""
         self.h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
         self.caller = _peer_address(stream)
@@ -187,6 +208,10 @@
             await self._serve_exchanges()
         except (CallerLeft, *SOCKET_ERRORS):
             pass
+        except Exception as error:
+            # A fault of this program must cost one connection, not the process
+            # and all that it is serving.
+            self.report(error)
         finally:
             await trio.aclose_forcefully(self.stream)
 
@@ -217,6 +242,13 @@
             if exchange.started:
                 raise CallerLeft(problem.reason) from problem
             await self._refuse(problem)
+        except (CallerLeft, *SOCKET_ERRORS):
+            raise
+        except Exception as error:
+            self.report(error)
+            if exchange.started:
+                raise CallerLeft("the answer cannot be completed") from error
+            await exchange.reply(502, [], b"internal error\n")
 
     async def _next_request(self) -> RequestHead | None:
         event = self._parse()
@@ -232,6 +264,7 @@
             raise BadMessage(408, "the head of the request took too long to arrive")
         if not isinstance(event, h11.Request):
             return None
+        self.method = bytes(event.method)
         request = _checked_request(event)
         if not _announces_body(request):
             # Nothing is to be read of it. Left unread, its end would make the
@@ -325,7 +358,8 @@
             (b"connection", b"close"),
         ]
         await self.send_event(h11.Response(status_code=problem.status, headers=headers))
-        await self.send_event(h11.Data(data=body))
+        if self.method != b"HEAD":
+            await self.send_event(h11.Data(data=body))
         await self.send_event(h11.EndOfMessage())
         await self._linger()
 
--- a/tests/coordination/test_removed_budgets.py
+++ b/tests/coordination/test_removed_budgets.py
@@ -60,8 +60,11 @@
                 holder = next(
                     vm
                     for vm in vms.values()
-                    if any(r.lease.is_held for r in vm.rebalancers.values()
-                           if r.plan.specs())
+                    if any(
+                        r.lease.is_held
+                        for r in vm.rebalancers.values()
+                        if r.plan.specs()
+                    )
                 )
                 seen = []
                 for r in holder.rebalancers.values():
