Refuse at once what is read too late in a stop to be run

What a caller saw: its request, whose head arrived slowly, got neither an answer nor a refusal from a VM that stopped as planned, and its run was broken off.

Cause: the time in which requests are taken was kept by closing the door and idle connections only. A connection that had begun a request in time could end it at any moment up to the head's timeout, and it was passed on though what was left of the time to stop was less than targets take. Why it holds: the end of that time is checked when the request is whole, head and body, whatever delayed it; the refusal is 503, not run, with a time to come back.

--- a/packages/gateway/plantainshed_gateway/daemon.py
+++ b/packages/gateway/plantainshed_gateway/daemon.py
@@ -146,8 +146,10 @@
         began_at = trio.current_time()
         self.stopping.is_announced = True
         await self.gateway.announce_leaving()
+        accept_until = began_at + accept_s(within_s)
+        self.gateway.serving.takes_until = accept_until + STOP_GRACE_S
         self._log_stopping("leaving announced", within_s=within_s)
-        await trio.sleep(accept_s(within_s))
+        await trio.sleep_until(accept_until)
         self.stopping.set()
         self._log_stopping("no new connections")
         with trio.move_on_at(began_at + LAST_PART * within_s) as scope:
--- a/packages/gateway/plantainshed_gateway/reasons.py
+++ b/packages/gateway/plantainshed_gateway/reasons.py
@@ -24,3 +24,4 @@
     CALLER_LEFT = "caller_left"
     POISON = "poison"
     WAS_PAUSED = "was_paused"
+    STOPPING = "stopping"
--- a/packages/gateway/plantainshed_gateway/serving.py
+++ b/packages/gateway/plantainshed_gateway/serving.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import math
 from http import HTTPStatus
 
 import trio
@@ -37,6 +38,8 @@
 POISON_RETRY_AFTER_S = 5.0
 # Reading three collections again takes a few round trips.
 PAUSED_RETRY_AFTER_S = 0.3
+# Other VMs take requests now; look-ups name them.
+STOPPING_RETRY_AFTER_S = 0.05
 # Time in which a target that lives accepts a connection, after one broke.
 CRASH_CHECK_S = 0.3
 
@@ -50,6 +53,9 @@
         Requests that were read and not yet answered.
     is_awake : bool
         False after a pause of this process, until it has caught up.
+    takes_until : float
+        When requests are no longer taken, because too little of the time to stop
+        is left for them to be run.
     """
 
     def __init__(
@@ -75,6 +81,7 @@
         self.queues = queues
         self.in_flight = 0
         self.is_awake = True
+        self.takes_until = math.inf
 
     async def serve(self, exchange: Exchange):
         """Answer one request, by a target or by a refusal."""
@@ -84,6 +91,7 @@
         try:
             body = await self._read_body(exchange)
             self._require_awake()
+            self._require_time_to_run()
             call = await self.admission.admit(exchange.request, body, began_at)
             self.retries.note_request(call.pool)
             await self._run(exchange, call)
@@ -103,6 +111,18 @@
                 PAUSED_RETRY_AFTER_S,
             )
 
+    def _require_time_to_run(self):
+        # A connection that was taken in time may send the rest of a request much
+        # later. Passed on, it would be broken off at its target when the time to
+        # stop runs out, with no answer.
+        if trio.current_time() > self.takes_until:
+            raise Refusal(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                Reason.STOPPING,
+                "this VM is about to end",
+                STOPPING_RETRY_AFTER_S,
+            )
+
     async def _read_body(self, exchange: Exchange) -> bytes:
         configuration = self.admission.configuration
         limit = configuration.limits.max_body_bytes if configuration else 0
