Refuse settings that end the process once they are used

What callers saw: all requests of a VM cut, or each ended with 502, after a reload of a file with a seed that holds a zero byte or a window of 0 s. Cause: seeds were any text, and sending to one raised what is no OSError; rates are divided by the windows. Why it holds: a seed must be an IP address and a port, a window longer than 0; a reload that has another is refused whole, with its field in the line. The two tests waited for the reload; they now want it refused, with the field's name, and the VM serving three heartbeats later. They failed before (TypeError; 502) and pass.

--- a/packages/gateway/plantainshed_gateway/settings.py
+++ b/packages/gateway/plantainshed_gateway/settings.py
@@ -4,6 +4,7 @@
 """
 
 import configparser
+import ipaddress
 import math
 from pathlib import Path
 
@@ -135,7 +136,7 @@
             region_of=region_of,
             listen=self._addresses(),
             datagram_port=self._int("peers", "datagram_port"),
-            seeds=self._list("peers", "seeds"),
+            seeds=self._seeds(),
             store=self._text("store", "address"),
             bounds=self._bounds(),
             link_mbps=self._number("vm", "link_mbps"),
@@ -156,8 +157,8 @@
             longest_ttl_s=self._duration("bounds", "longest_ttl"),
             retry_ratio=self._number("bounds", "retry_ratio"),
             retry_slack=self._number("bounds", "retry_slack"),
-            retry_window_s=self._duration("bounds", "retry_window"),
-            quota_window_s=self._duration("bounds", "quota_window"),
+            retry_window_s=self._window("retry_window"),
+            quota_window_s=self._window("quota_window"),
             quota_over=self._number("bounds", "quota_over"),
             quota_slack=self._number("bounds", "quota_slack"),
             cold_over=self._number("bounds", "cold_over"),
@@ -182,9 +183,24 @@
             raise self._fault("listen", option, f"{text!r} must be IP:PORT")
         return text
 
-    def _list(self, section: str, option: str) -> tuple[str, ...]:
-        text = self._section(section).get(option, "")
-        return tuple(part.strip() for part in text.split(",") if part.strip())
+    def _seeds(self) -> tuple[str, ...]:
+        text = self._section("peers").get("seeds", "")
+        seeds = tuple(part.strip() for part in text.split(",") if part.strip())
+        for seed in seeds:
+            host, _, port = seed.rpartition(":")
+            try:
+                ipaddress.IPv4Address(host)
+            except ValueError as error:
+                raise self._fault("peers", "seeds", f"{seed!r}: {error}") from error
+            if not port.isdigit():
+                raise self._fault("peers", "seeds", f"{seed!r} must be IP:PORT")
+        return seeds
+
+    def _window(self, option: str) -> float:
+        window_s = self._duration("bounds", option)
+        if not window_s:
+            raise self._fault("bounds", option, "must be longer than 0")
+        return window_s
 
     def _int(self, section: str, option: str) -> int:
         return int(self._number(section, option))
--- a/tests/platform/test_reload_effects.py
+++ b/tests/platform/test_reload_effects.py
@@ -47,22 +47,23 @@
 
     @on_real_clock
     async def test_seed_that_is_no_host_ends_no_vm(self):
-        """A seed with a zero byte in it: sending raises what is no `OSError`."""
-        async with running_daemon() as daemon:
-            text = daemon.settings.read_text()
-            daemon.settings.write_text(
-                re.sub(r"(?m)^seeds =.*$", "seeds = 10.0.0\\0.1:7000", text)
-            )
-            await daemon.until_line("reload")
-            await trio.sleep(1.6)
-            self.assertEqual((await daemon.ask())[0], 200)
+        """A seed with a zero byte in it: sending raised what is no `OSError`."""
+        await self.refuses(r"^seeds =.*$", "seeds = 10.0.0\\0.1:7000", "seeds")
 
     @on_real_clock
     async def test_window_of_no_length_ends_no_request(self):
+        """Rates were divided by it: requests ended with 502, then the process."""
+        for option in ("quota_window", "retry_window"):
+            await self.refuses(rf"^{option} =.*$", f"{option} = 0s", option)
+
+    async def refuses(self, pattern: str, line: str, option: str):
         async with running_daemon() as daemon:
             text = daemon.settings.read_text()
-            daemon.settings.write_text(
-                re.sub(r"(?m)^quota_window =.*$", "quota_window = 0s", text)
-            )
-            await daemon.until_line("reload")
+            changed = re.sub(f"(?m){pattern}", line, text)
+            self.assertNotEqual(changed, text)
+            daemon.settings.write_text(changed)
+            failed = await daemon.until_line("reload failed")
+            self.assertIn(option, failed["problem"])
+            # Three heartbeats, which go to seeds while nobody else is known.
+            await trio.sleep(1.6)
             self.assertEqual((await daemon.ask())[0], 200)
