Tell others only of addresses on which a VM listens

What callers saw: after a reload of a file with another address, look-ups named one on which nobody listened, until the VM was started anew; and a shorter life of look-ups said 'changed' and changed nothing. Why it holds: a reload takes bounds and seeds into the settings in force and nothing else; the line says if the file holds more ('needs_restart').

--- a/packages/gateway/plantainshed_gateway/daemon.py
+++ b/packages/gateway/plantainshed_gateway/daemon.py
@@ -176,9 +176,14 @@
         except SettingsError as error:
             self.log.event("reload failed", cause=cause, problem=str(error))
             return
-        self.gateway.take_settings(settings)
-        self.log.event("reload", cause=cause, changed=settings != self.settings)
-        self.settings = settings
+        before = self.settings
+        self.settings = self.gateway.take_settings(settings)
+        self.log.event(
+            "reload",
+            cause=cause,
+            changed=self.settings != before,
+            needs_restart=settings != self.settings,
+        )
 
 
 def accept_s(within_s: float) -> float:
--- a/packages/gateway/plantainshed_gateway/gateway.py
+++ b/packages/gateway/plantainshed_gateway/gateway.py
@@ -3,6 +3,7 @@
 import contextlib
 
 import trio
+from attrs import evolve
 
 from plantainshed_http.server import ConnectionLimits, Exchange
 
@@ -127,13 +128,21 @@
         )
         self._nursery: trio.Nursery | None = None
 
-    def take_settings(self, settings: Settings):
-        """Take over what may change while the daemon runs: bounds and seeds."""
+    def take_settings(self, new: Settings) -> Settings:
+        """Take over what may change while the daemon runs: bounds and seeds.
+
+        Returns the settings in force. The rest stays as it was at the start: told
+        to other VMs and to callers, an address on which nothing listens yet would
+        draw requests that are lost.
+        """
+        settings = evolve(self.context.settings, bounds=new.bounds, seeds=new.seeds)
         self.context.settings = settings
         self.retries.bounds = settings.bounds
         self.cold.bounds = settings.bounds
         self.quotas.bounds = settings.bounds
+        self.lookup.limit_ttl(settings.bounds.longest_ttl_s)
         self.peers.seeds = _ips(settings.seeds)
+        return settings
 
     @property
     def replicas(self):
--- a/packages/gateway/plantainshed_gateway/lookup.py
+++ b/packages/gateway/plantainshed_gateway/lookup.py
@@ -23,9 +23,13 @@
 
     def __init__(self, members: Members, longest_ttl_s: float):
         self.members = members
-        self.ttl_s = min(TTL_S, longest_ttl_s)
+        self.limit_ttl(longest_ttl_s)
         self.random = random.Random()
 
+    def limit_ttl(self, longest_ttl_s: float):
+        """Bound how long callers keep an answer from now on."""
+        self.ttl_s = min(TTL_S, longest_ttl_s)
+
     def addresses(self, lookup: Lookup) -> list[str]:
         """Return callers' addresses of VMs to use, in no order.
 
