Write the lines of a start and a stop whatever the rate of lines

A VM over its rate of lines dropped those of its own stop like any other, and its lines then said that it was ended from outside. The few lines of a process's life pass the rate; a request to stop that is repeated does not, for it can come any number of times.

--- a/packages/gateway/plantainshed_gateway/logs.py
+++ b/packages/gateway/plantainshed_gateway/logs.py
@@ -56,6 +56,14 @@
         if not self._take_token():
             self.dropped += 1
             return
+        self.milestone(event, **fields)
+
+    def milestone(self, event: str, **fields):
+        """Write one line whatever the rate; for the few of a process's life.
+
+        Without those of its stop, a process whose lines end looks like one that
+        was ended from outside.
+        """
         if self.dropped > self._reported:
             fields["lines_dropped"] = self.dropped
             self._reported = self.dropped
