Let series of signals meet at one VM of a soak, and look at how processes end

Cause: the soak sends SIGTERM and SIGHUP, and never saw that a hangup in a drain ends the process. Three reasons, each checked in the code: - vm_stop and vm_hup are each drawn for a VM of its own. The VMs of domain-1, a third of all, served no caller of their own.

EXIT is also a process that was told to stop and ended with another status than 0 or not in its time; START one that was hung up and not ready in 25 s. LOST counts a request cut around a series as one cut by a planned stop; two hangups alone excuse nothing else. Only SIGTERM before the first line may end a process as the system does. Callers stand in all domains; a third keep look-ups for 6 s and connections for 4 requests, so that a stopping VM is asked until it closes its door (2.5 s).

--- a/tests/platform/soak/__main__.py
+++ b/tests/platform/soak/__main__.py
@@ -18,11 +18,10 @@
 from .faults import Faults, draw
 from .processes import running_vms
 from .promises import Findings, Promises
-from .settings import RECOVERY_S, SoakSettings
+from .settings import RECOVERY_S, START_S, SoakSettings
+from .signals import SERIES, draw_signals, run_signals
 from .world import running_world
 
-START_S = 25.0
-READY = b'"message":"ready"'
 END_PHASE_S = 6.0
 SHOWN_EACH = 3
 KEPT_LOGS = Path("target") / "soak"
@@ -78,7 +77,7 @@
 
 async def _soak(settings: SoakSettings, folder: Path) -> dict:
     seen: list[Seen] = []
-    plan = draw(settings)
+    plan, series = draw(settings), draw_signals(settings)
     async with running_world(settings) as world:
         async with running_store(world.store) as store_address:
             async with running_vms(settings, store_address, folder) as vms:
@@ -89,7 +88,9 @@
                     load.start_soon(faults.watch_own_stalls)
                     for caller in callers:
                         load.start_soon(caller.run)
-                    await faults.run(plan)
+                    async with trio.open_nursery() as disturbing:
+                        disturbing.start_soon(faults.run, plan)
+                        disturbing.start_soon(run_signals, faults, series)
                     await trio.sleep(RECOVERY_S)
                     settled_at = trio.current_time()
                     await trio.sleep(END_PHASE_S)
@@ -97,19 +98,40 @@
                 ended_at = trio.current_time()
                 promises = Promises(world, vms, seen, faults.disturbances)
                 findings = promises.check(settled_at, ended_at)
-    return _report(settings, plan, seen, findings, faults.stalls_s)
+                report = _report(settings, plan, seen, findings, faults.stalls_s)
+                done = [d.kind for d in faults.disturbances if d.kind in SERIES]
+                report["signals"] = dict(Counter(done))
+                report["while_stopping"] = _while_stopping(vms, seen)
+    return report
 
 
 async def _until_ready(vms):
     """Wait until each VM says in its log that it serves."""
     for vm in vms:
         with trio.move_on_after(START_S + 0.2 * len(vms)) as scope:
-            while not vm.log.exists() or READY not in vm.log.read_bytes():
+            while not vm.is_ready:
                 await trio.sleep(0.1)
         if scope.cancelled_caught:
             raise TimeoutError(f"{vm.name} did not become ready")
 
 
+def _while_stopping(vms, seen: list[Seen]) -> dict:
+    """Return what callers sent to VMs that were stopping, to see that they do."""
+    stops = {vm.callers: vm.stops for vm in vms}
+    after_s = [
+        (one.sent_at - since, one.is_kept)
+        for one in seen
+        for since, until in stops.get(one.vm, ())
+        if since < one.sent_at < until
+    ]
+    return {
+        "stops": sum(map(len, stops.values())),
+        "requests": len(after_s),
+        "on_kept_connections": sum(is_kept for _, is_kept in after_s),
+        "last_after_s": round(max(after_s, default=(0.0,))[0], 2),
+    }
+
+
 def _leaves(error: BaseException):
     if not isinstance(error, BaseExceptionGroup):
         yield error
--- a/tests/platform/soak/callers.py
+++ b/tests/platform/soak/callers.py
@@ -14,6 +14,10 @@
 from .world import HOST, LARGE, SMALL, World
 
 LOOKUP_S = 2.0
+# Some keep an answered look-up for three times as long, and connections for few
+# requests: a VM that stops hears of them for as long as it takes anything.
+LONG_LOOKUP_S = 3 * LOOKUP_S
+FEW_USES = 4
 DEADLINE_MS = 2500
 # What a caller waits for an answer: longer than any route's timeout.
 PATIENCE_S = 4.0
@@ -30,6 +34,8 @@
     status : int
         0 if the connection ended without a whole answer, -1 if no connection
         could be opened.
+    is_kept : bool
+        Whether its connection had served another request before.
     """
 
     request_id: str
@@ -43,6 +49,7 @@
     status: int = 0
     answer: bytes = b""
     is_signed: bool = False
+    is_kept: bool = False
 
     @property
     def is_booking(self) -> bool:
@@ -59,6 +66,9 @@
     seen: list[Seen]
     rng: random.Random
     workspace: str = LARGE
+    domain: int = 0
+    lookup_s: float = LOOKUP_S
+    most_uses: int = CONNECTION_USES
     pause_s: float = 0.1
     known: list[str] = field(factory=list)
     known_until: float = 0.0
@@ -94,7 +104,8 @@
         body = b"seat" if path.startswith("/book/") else b""
         name = f"{self.workspace}-{next(_NUMBERS)}"
         now = trio.current_time()
-        return Seen(name, self.workspace, key, path, body, self.at, now)
+        kept = self.uses > 0
+        return Seen(name, self.workspace, key, path, body, self.at, now, is_kept=kept)
 
     def _extra(self) -> set[str]:
         return {f"/{name}/" for name in self.world.extra}
@@ -117,7 +128,7 @@
         head, answer = await self.connection.read_response()
         one.is_signed = head.header(b"server-seal") is not None
         one.answer, one.status = answer, head.status
-        if not self.connection.reusable or self.uses >= CONNECTION_USES:
+        if not self.connection.reusable or self.uses >= self.most_uses:
             await self._drop()
 
     async def _connect(self) -> bool:
@@ -149,19 +160,28 @@
 
     async def _look_up(self):
         vm = self.rng.choice(self.vms)
-        path = f"/plantainshed/resolve?name={HOST}&region=region-0&zone=domain-0"
+        place = f"region=region-{self.domain % 2}&zone=domain-{self.domain}"
+        path = f"/plantainshed/resolve?name={HOST}&{place}"
         with contextlib.suppress(HttpError, ValueError, KeyError):
             head, body = await fetch(vm.lookup, "GET", path, timeout_s=1.0)
             if head.status == 200:
                 self.known = orjson.loads(body)["addrs"]
-                self.known_until = trio.current_time() + LOOKUP_S
+                self.known_until = trio.current_time() + self.lookup_s
 
 
 def make_callers(world: World, vms: list, seen: list[Seen], count: int):
-    """Return callers of both workspaces; the small one sends too much."""
+    """Return callers in all domains, of both workspaces; the small one sends too much.
+
+    Look-ups name VMs of the caller's own region: were all callers in one, the
+    other's VMs would serve nobody, and nothing that happens there could be seen.
+    """
+    domains = world.settings.domains
     callers = []
     for number in range(count):
         workspace = SMALL if number % 6 == 5 else LARGE
         rng = random.Random(f"{world.settings.seed}/caller/{number}")
-        callers.append(Caller(world, vms, seen, rng, workspace))
+        caller = Caller(world, vms, seen, rng, workspace, number % domains)
+        if number // domains % 3 == 0:
+            caller.lookup_s, caller.most_uses = LONG_LOOKUP_S, FEW_USES
+        callers.append(caller)
     return callers
--- a/tests/platform/soak/processes.py
+++ b/tests/platform/soak/processes.py
@@ -8,14 +8,17 @@
 from pathlib import Path
 
 import trio
-from attrs import define
+from attrs import define, field
 
 from tests.platform.daemon_support import filled_template, free_ports
 
 from .proxy import Proxy, running_proxy
 from .settings import GRACE_S, SoakSettings
 
+PROGRAM = (sys.executable, "-m", "plantainshed_platform")
 RESTART_S = 0.3
+STARTED = b'"message":"start"'
+READY = b'"message":"ready"'
 # A killed process is over at once; one that was told to stop after its grace.
 KILL_AFTER_S = GRACE_S + 2.0
 
@@ -31,8 +34,18 @@
     process : trio.Process or None
     stopping_since : float or None
         When it was told to stop.
-    ended_by_itself : int
-        Times that its process ended though nobody had told it to.
+    was_starting : bool
+        Whether it had not written its first line when it was told to stop.
+    sent : list of str
+        Signals that the present process was sent.
+    wrong_ends : list of str
+        How processes ended that should have gone on, or ended otherwise.
+    late : list of tuple
+        From when until when a process that was told to stop had not ended.
+    not_ready : list of str
+        Processes that were hung up while they started and did not get ready.
+    stops : list of tuple
+        From when until when processes stopped.
     """
 
     name: str
@@ -42,11 +55,18 @@
     settings: Path
     log: Path
     ports: list[int]
+    program: tuple[str, ...] = PROGRAM
     process: trio.Process | None = None
     stopping_since: float | None = None
-    ended_by_itself: int = 0
-    is_told: bool = False
+    was_starting: bool = False
+    is_killed: bool = False
     revision: int = 0
+    log_from: int = 0
+    sent: list[str] = field(factory=list)
+    wrong_ends: list[str] = field(factory=list)
+    late: list[tuple[float, float]] = field(factory=list)
+    not_ready: list[str] = field(factory=list)
+    stops: list[tuple[float, float]] = field(factory=list)
 
     @property
     def callers(self) -> str:
@@ -58,9 +78,26 @@
         """Where look-ups are answered."""
         return f"{self.ip}:{self.ports[2]}"
 
+    @property
+    def runs(self) -> bool:
+        """Whether there is a process."""
+        return self.process is not None and self.process.returncode is None
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the present process has said that it serves."""
+        return self.runs and self.has_written(READY)
+
+    def has_written(self, line: bytes) -> bool:
+        """Tell whether the present process has written a line."""
+        with self.log.open("rb") as written:
+            written.seek(self.log_from)
+            return line in written.read()
+
     def send(self, number: int):
         """Send a signal, if the process runs."""
-        if self.process is not None and self.process.returncode is None:
+        if self.runs:
+            self.sent.append(signal.Signals(number).name)
             self.process.send_signal(number)
 
     async def run(self):
@@ -74,34 +111,60 @@
             self.send(signal.SIGKILL)
 
     async def _run_once(self):
-        self.is_told, self.stopping_since = False, None
         with self.log.open("ab") as out:
-            self.process = await trio.lowlevel.open_process(
-                [sys.executable, "-m", "plantainshed_platform"],
+            self.log_from = out.tell()
+            process = await trio.lowlevel.open_process(
+                self.program,
                 env={**os.environ, "PLANTAINSHED_NODE_FILE": str(self.settings)},
                 stdout=out,
                 stderr=subprocess.STDOUT,
             )
-        await self.process.wait()
-        if not self.is_told:
-            self.ended_by_itself += 1
+        # Only now: what came meanwhile was for the process before, or for none.
+        self.process, self.stopping_since, self.is_killed = process, None, False
+        self.sent = []
+        await process.wait()
+        self.note_end(process.returncode)
+
+    def note_end(self, status: int):
+        """Judge how the process ended.
+
+        One that was told to stop ends with 0, whatever else it was sent. Only
+        before its first line it cannot know better than the system, which ends it.
+        """
+        sent = " ".join(self.sent[-6:]) or "no signal"
+        line = f"ended with status {status} after {sent}"
+        if self.stopping_since is None:
+            if not (self.is_killed and status == -signal.SIGKILL):
+                self.wrong_ends.append(f"{line}, not told to stop")
+            return
+        now = trio.current_time()
+        self.stops.append((self.stopping_since, now))
+        is_right = (
+            status == 0
+            or (self.is_killed and status == -signal.SIGKILL)
+            or (self.was_starting and status == -signal.SIGTERM)
+        )
+        if not is_right:
+            since_s = now - self.stopping_since
+            self.wrong_ends.append(f"{line}, {since_s:.2f} s after it was told to stop")
 
     def kill(self):
         """End the process as a crash does."""
-        self.is_told = True
+        self.is_killed = self.is_killed or self.runs
         self.send(signal.SIGCONT)
         self.send(signal.SIGKILL)
 
     async def stop(self):
         """Tell the process to stop, and see to it that it does."""
-        if self.stopping_since is not None:
+        if self.stopping_since is not None or not self.runs:
             return
-        self.is_told, self.stopping_since = True, trio.current_time()
-        process = self.process
+        process, self.stopping_since = self.process, trio.current_time()
+        self.was_starting = not self.has_written(STARTED)
         self.send(signal.SIGTERM)
         with trio.move_on_after(KILL_AFTER_S):
             await process.wait()
             return
+        self.late.append((self.stopping_since, trio.current_time()))
         self.kill()
 
     def change_settings(self):
--- a/tests/platform/soak/promises.py
+++ b/tests/platform/soak/promises.py
@@ -19,11 +19,17 @@
     ROUTE_TIMEOUT_S,
     STABLE_S,
 )
+from .signals import SERIES
 from .world import RATES, Run, World
 
 # Statuses that promise that the request has not run and never will.
 NOT_RUN = frozenset({408, 421, 429, 503})
 LEAST_SERVED_AT_END = 0.9
+# What cuts no request, and of it what takes nothing from any other promise.
+CUTS_NOTHING = frozenset({"vm_stop", *SERIES})
+DISTURBS_NOTHING = frozenset({"hup_hup"})
+# What keeps a process from ending in its time.
+STANDS_STILL = frozenset({"vm_pause", "stall"})
 
 
 @define
@@ -76,13 +82,29 @@
         self._check_quotas()
         self._check_recovery(settled_at, ended_at)
         for vm in self.vms:
-            if vm.ended_by_itself:
-                self.findings.add("EXIT", f"{vm.name} ended {vm.ended_by_itself} times")
+            self._check_processes(vm)
         return self.findings
 
+    def _check_processes(self, vm: Vm):
+        for line in vm.wrong_ends:
+            self.findings.add("EXIT", f"{vm.name} {line}")
+        for line in vm.not_ready:
+            self.findings.add("START", f"{vm.name} {line}")
+        for since, until in vm.late:
+            if not any(
+                one.kind in STANDS_STILL
+                and one.scope in {ALL, vm.name}
+                and one.began_at <= until
+                and one.ended_at >= since
+                for one in self.disturbances
+            ):
+                line = f"{vm.name} had not ended {until - since:.2f} s after its stop"
+                self.findings.add("EXIT", line)
+
     def _is_disturbed(self, scopes: set[str], since: float, until: float) -> bool:
         return any(
             (one.scope in scopes or one.scope == ALL)
+            and one.kind not in DISTURBS_NOTHING
             and one.began_at <= until
             and one.ended_at + STABLE_S >= since
             for one in self.disturbances
@@ -121,11 +143,11 @@
             self.findings.add("HELD", f"{one.request_id} at {vm.name}: {took_s:.2f} s")
         if one.status == 0 and self._was_cut_by_stop(one, vm):
             self.findings.add(
-                "LOST", f"{one.request_id} was cut while {vm.name} stopped"
+                "LOST", f"{one.request_id} was cut while {vm.name} got signals"
             )
 
     def _was_cut_by_stop(self, one: Seen, vm: Vm) -> bool:
-        """Tell whether only a planned stop can have cut a request that ran."""
+        """Tell whether only a planned stop or signals can have cut what ran."""
         if not self.runs_of[one.request_id]:
             return False
         near = [
@@ -135,7 +157,7 @@
         ]
         targets = {run.target for run in self.runs_of[one.request_id]}
         others = [d for d in near if d.scope in {ALL, vm.name, *targets}]
-        stops = [d for d in others if d.kind == "vm_stop"]
+        stops = [d for d in others if d.kind in CUTS_NOTHING]
         in_time = any(one.ended_at < d.began_at + GRACE_S for d in stops)
         return in_time and len(stops) == len(others) == 1
 
--- /dev/null
+++ b/tests/platform/soak/signals.py
@@ -0,0 +1,135 @@
+"""Signals that meet at one process, in series that the seed draws."""
+
+import itertools
+import random
+import signal
+from pathlib import Path
+
+import trio
+
+from .faults import Disturbance, Fault, Faults
+from .processes import Vm
+from .settings import START_S, SoakSettings
+
+# "hups" hangs up again and again: until a process that stops is gone, or until one
+# that starts is ready. "restart" waits for the process that follows.
+SERIES = {
+    "stop_hup": ("stop", "hup"),
+    "stop_hups": ("stop", "hups"),
+    "stop_again": ("stop", "again"),
+    "stop_change": ("stop", "change"),
+    "hup_hup": ("hup", "hup"),
+    "paused_hup_stop": ("pause", "hup", "stop", "resume"),
+    "restart_hup": ("stop", "restart", "hup"),
+    "restart_hups": ("stop", "restart", "hups"),
+}
+SENT = {
+    "hup": signal.SIGHUP,
+    "again": signal.SIGTERM,
+    "pause": signal.SIGSTOP,
+    "resume": signal.SIGCONT,
+}
+# Few, so that the load is mostly served as without them.
+MOST = 3
+SERIES_EACH_S = 4.0
+# Longest times between two signals: in quick succession, or anywhere in a stop;
+# a pause is short against what a process has left when it was told to stop.
+GAPS_S = (0.05, 0.5, 3.5)
+PAUSED_GAPS_S = (0.05, 0.3)
+# Processor time after which a process runs its program. Its interpreter's start
+# takes half of it, and in that no program can do anything about a signal.
+INTERPRETER_S = 0.06
+
+
+def draw_signals(settings: SoakSettings) -> list[Fault]:
+    """Return the series of a soak. What `draw` draws does not depend on them."""
+    rng = random.Random(f"{settings.seed}/signals")
+    count = max(1, min(MOST, int(settings.duration_s / SERIES_EACH_S)))
+    series = [
+        Fault(kind, rng.uniform(1.0, settings.duration_s), 0.0, rng.getrandbits(16))
+        for kind in rng.sample(list(SERIES), count)
+    ]
+    return sorted(series, key=lambda fault: fault.at)
+
+
+async def run_signals(faults: Faults, plan: list[Fault]):
+    """Do all series of a plan, each in its time."""
+    began_at = trio.current_time()
+    async with trio.open_nursery() as nursery:
+        for fault in plan:
+            await trio.sleep_until(began_at + fault.at)
+            nursery.start_soon(_run, faults, fault)
+
+
+async def _run(faults: Faults, fault: Fault):
+    vm = faults.vms[fault.number % len(faults.vms)]
+    # Another fault may have ended it; a series begins at a VM that serves.
+    with trio.move_on_after(START_S) as waiting:
+        while not vm.is_ready or vm.stopping_since is not None:
+            await trio.sleep(0.1)
+    if waiting.cancelled_caught:
+        return
+    noted = Disturbance(fault.kind, vm.name, trio.current_time())
+    faults.disturbances.append(noted)
+    await _do(vm, fault)
+    noted.ended_at = trio.current_time()
+
+
+async def _do(vm: Vm, fault: Fault):
+    rng = random.Random(fault.number)
+    steps, process = SERIES[fault.kind], vm.process
+    gaps_s = PAUSED_GAPS_S if "pause" in steps else GAPS_S
+    async with trio.open_nursery() as nursery:
+        for step, following in itertools.zip_longest(steps, steps[1:]):
+            if step == "stop":
+                nursery.start_soon(vm.stop)
+            elif step == "restart":
+                process = await _next_process(vm, process)
+            elif step == "change":
+                vm.change_settings()
+            elif step == "hups":
+                await _hang_up_often(vm, process, rng)
+            elif vm.process is process:
+                if step == "hup" and rng.random() < 0.5:
+                    vm.change_settings()
+                vm.send(SENT[step])
+            if following and (step, following) != ("restart", "hups"):
+                await trio.sleep(rng.uniform(0.0, rng.choice(gaps_s)))
+    if "restart" in steps:
+        await _until_ready(vm, process)
+
+
+async def _next_process(vm: Vm, process: trio.Process) -> trio.Process:
+    """Wait until the next process runs its program."""
+    while vm.process is process:
+        await trio.sleep(0.02)
+    process = vm.process
+    while vm.runs and not vm.is_ready and _processor_s(process) < INTERPRETER_S:
+        await trio.sleep(0.005)
+    return process
+
+
+def _processor_s(process: trio.Process) -> float:
+    nanoseconds = Path(f"/proc/{process.pid}/schedstat").read_text().split()[0]
+    return int(nanoseconds) / 1e9
+
+
+async def _hang_up_often(vm: Vm, process: trio.Process, rng: random.Random):
+    with trio.move_on_after(START_S):
+        while vm.process is process and process.returncode is None:
+            if vm.is_ready and vm.stopping_since is None:
+                return
+            vm.send(signal.SIGHUP)
+            await trio.sleep(rng.uniform(0.0, 0.1))
+
+
+async def _until_ready(vm: Vm, process: trio.Process):
+    with trio.move_on_after(START_S):
+        while vm.process is process and vm.runs and vm.stopping_since is None:
+            if vm.is_ready:
+                return
+            await trio.sleep(0.1)
+        # Another fault ended it, or it ended by itself, which is found as such.
+        return
+    sent = " ".join(vm.sent[-6:])
+    vm.not_ready.append(f"was not ready {START_S:g} s after it started, sent {sent}")
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -1,15 +1,26 @@
 """The soak finds what it is meant to find."""
 
+import signal
+import sys
+import tempfile
 import unittest
+from pathlib import Path
+from unittest import mock
+
+import trio
 
 from tests.platform.soak.callers import Seen
-from tests.platform.soak.faults import ALL, KINDS, Disturbance, Faults, draw
+from tests.platform.soak.faults import ALL, KINDS, Disturbance, Fault, Faults, draw
 from tests.platform.soak.processes import Vm
 from tests.platform.soak.promises import Promises
 from tests.platform.soak.settings import SoakSettings
+from tests.platform.soak.signals import MOST, SERIES, draw_signals, run_signals
 from tests.platform.soak.world import LARGE, SMALL, Run, World
+from tests.support import on_real_clock
 
 SETTINGS = SoakSettings(seed=5, duration_s=60.0)
+# What seed 54 draws for 12 s.
+PINNED = ["target_spoils", "target_spoils", "target_spoils", "target_silent"]
 
 
 def make_vm() -> Vm:
@@ -52,6 +63,12 @@
     )
 
 
+def found_at(vm: Vm, *disturbances: Disturbance) -> list[str]:
+    seen = [make_seen("last", sent_at=100.0)]
+    promises = Promises(World(SETTINGS), [vm], seen, list(disturbances))
+    return sorted(promises.check(90.0, 200.0).by_rule)
+
+
 def rules(seen, runs, disturbances=(), **world) -> list[str]:
     made = World(SETTINGS, runs=list(runs), **world)
     # Served at the end, so that only the rule under test is found.
@@ -72,6 +89,139 @@
             self.assertTrue(callable(getattr(Faults, kind)))
 
 
+class TestDrawSignals(unittest.TestCase):
+    def test_same_seed_draws_the_same_and_few(self):
+        self.assertEqual(draw_signals(SETTINGS), draw_signals(SETTINGS))
+        self.assertNotEqual(draw_signals(SETTINGS), draw_signals(SoakSettings(6, 60.0)))
+        self.assertEqual(len(draw_signals(SETTINGS)), MOST)
+        self.assertEqual(len(draw_signals(SoakSettings(5, 2.0))), 1)
+
+    def test_each_series_is_drawn(self):
+        settings = [SoakSettings(seed, 12.0) for seed in range(40)]
+        drawn = {fault.kind for one in settings for fault in draw_signals(one)}
+        self.assertEqual(drawn, set(SERIES))
+
+    def test_faults_of_a_seed_stay_what_they_were(self):
+        """Seeds are written down with what they found; they must find it again."""
+        kinds = [fault.kind for fault in draw(SoakSettings(54, 12.0))]
+        self.assertEqual(kinds, PINNED)
+
+
+# Told to stop, this program is busy for a while, in which it obeys no signal but
+# as the system does, as the gateway did.
+DEAF = """
+import signal, sys, time
+def stop(*_):
+    signal.signal(signal.SIGHUP, signal.SIG_DFL)
+    time.sleep(0.6)
+    sys.exit(0)
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+signal.signal(signal.SIGTERM, stop)
+print('{"message":"start"}', flush=True)
+print('{"message":"ready"}', flush=True)
+while True:
+    time.sleep(1)
+"""
+MENDED = DEAF.replace("SIG_DFL", "SIG_IGN")
+NEVER_ENDS = MENDED.replace("sys.exit(0)", "time.sleep(60)")
+# Serves when it is first started, and never again.
+NEVER_READY = MENDED.replace(
+    """print('{"message":"ready"}', flush=True)""",
+    """while time.process_time() < 0.2:
+    pass
+if "again" in open(sys.argv[1]).read():
+    time.sleep(60)
+print('{"message":"ready"}', flush=True)
+open(sys.argv[1], "a").write("again")""",
+)
+
+
+async def done(program: str, *kinds: str) -> Vm:
+    """Run a program as a VM does, and do series of signals at it."""
+    with tempfile.TemporaryDirectory() as folder:
+        settings, log = Path(folder) / "vm-0.ini", Path(folder) / "vm-0.log"
+        settings.write_text("")
+        log.touch()
+        command = (sys.executable, "-c", program, str(settings))
+        vm = Vm("vm-0", "domain-0", "127.0.0.1", None, settings, log, [1], command)
+        faults = Faults(World(SETTINGS), [vm])
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(vm.run)
+            with trio.fail_after(20):
+                while not vm.is_ready:
+                    await trio.sleep(0.02)
+                await run_signals(faults, [Fault(kind, 0.0, 0.0, 1) for kind in kinds])
+            nursery.cancel_scope.cancel()
+    return vm
+
+
+class TestSignals(unittest.TestCase):
+    """A VM was told to stop, and hung up in its drain: it ended at once.
+
+    The soak sent both signals, to VMs drawn at random, which hardly ever met at
+    one; and once a VM was told to stop, no end of it was looked at any more.
+    """
+
+    @on_real_clock
+    async def test_end_in_a_drain_by_a_further_signal(self):
+        with mock.patch("tests.platform.soak.signals.GAPS_S", (0.3,)):
+            vm = await done(DEAF, "stop_hup")
+            self.assertEqual(found_at(vm), ["EXIT"])
+            self.assertIn("status -1 after SIGTERM SIGHUP", vm.wrong_ends[0])
+            for kind in SERIES:
+                vm = await done(MENDED, kind)
+                self.assertEqual(found_at(vm), [], kind)
+
+    @on_real_clock
+    async def test_signals_until_a_process_is_gone(self):
+        with mock.patch("tests.platform.soak.signals.GAPS_S", (0.3,)):
+            vm = await done(DEAF, "stop_hups")
+        self.assertEqual(found_at(vm), ["EXIT"])
+
+    @on_real_clock
+    async def test_process_that_does_not_end_in_its_time(self):
+        with mock.patch("tests.platform.soak.processes.KILL_AFTER_S", 0.5):
+            vm = await done(NEVER_ENDS, "stop_change")
+        self.assertEqual(found_at(vm), ["EXIT"])
+        self.assertEqual(vm.wrong_ends, [])
+        since, until = vm.late[0]
+        pause = Disturbance("vm_pause", "vm-0", since, until)
+        self.assertEqual(found_at(vm, pause), [])
+        other = Disturbance("vm_pause", "vm-1", since, until)
+        self.assertEqual(found_at(vm, other), ["EXIT"])
+
+    @on_real_clock
+    async def test_process_that_is_not_ready_after_a_hangup_in_its_start(self):
+        with mock.patch("tests.platform.soak.signals.START_S", 1.0):
+            vm = await done(NEVER_READY, "restart_hup")
+        self.assertEqual(found_at(vm), ["START"])
+
+    def test_ends_that_are_right_and_wrong(self):
+        hangup, stop, kill = -signal.SIGHUP, -signal.SIGTERM, -signal.SIGKILL
+        for status, more, is_right in (
+            (0, {"stopping_since": 1.0}, True),
+            (1, {"stopping_since": 1.0}, False),
+            (hangup, {"stopping_since": 1.0}, False),
+            (stop, {"stopping_since": 1.0}, False),
+            (stop, {"stopping_since": 1.0, "was_starting": True}, True),
+            (hangup, {"stopping_since": 1.0, "was_starting": True}, False),
+            (kill, {"stopping_since": 1.0}, False),
+            (kill, {"stopping_since": 1.0, "is_killed": True}, True),
+            (1, {"stopping_since": 1.0, "is_killed": True}, False),
+            (kill, {"is_killed": True}, True),
+            (kill, {}, False),
+            (hangup, {}, False),
+            (0, {}, False),
+        ):
+            vm = make_vm()
+            for name, value in more.items():
+                setattr(vm, name, value)
+            with mock.patch("trio.current_time", return_value=3.0):
+                vm.note_end(status)
+            found = found_at(vm)
+            self.assertEqual(found, [] if is_right else ["EXIT"], (status, more))
+
+
 class TestPromises(unittest.TestCase):
     def test_nothing_is_found_where_all_is_well(self):
         self.assertEqual(rules([make_seen()], [make_run()]), [])
@@ -134,6 +284,21 @@
         reset = Disturbance("target_resets", "target-0", 9.5, 10.5)
         self.assertEqual(rules([cut], [make_run()], [stop, reset]), [])
 
+    def test_request_cut_by_signals_that_meet(self):
+        cut = make_seen(status=0)
+        for kind in SERIES:
+            series = Disturbance(kind, "vm-0", 9.0, 13.0)
+            self.assertEqual(rules([cut], [make_run()], [series]), ["LOST"], kind)
+            kill = Disturbance("vm_kill", "vm-0", 9.5, 10.5)
+            self.assertEqual(rules([cut], [make_run()], [series, kill]), [], kind)
+            far = Disturbance(kind, "vm-1", 9.0, 13.0)
+            self.assertEqual(rules([cut], [make_run()], [far]), [], kind)
+
+    def test_hangups_alone_disturb_no_promise(self):
+        held = make_seen(status=504, ended_at=13.0)
+        hangups = Disturbance("hup_hup", "vm-0", 9.0, 13.0)
+        self.assertEqual(rules([held], [], [hangups]), ["HELD"])
+
     def test_callers_that_are_not_served_at_the_end(self):
         seen = [make_seen(f"r-{n}", status=503, sent_at=95.0) for n in range(5)]
         self.assertEqual(rules(seen, []), ["RECOVER"])
