--- a/packages/gateway/plantainshed_gateway/daemon.py
+++ b/packages/gateway/plantainshed_gateway/daemon.py
@@ -5,7 +5,7 @@
 import signal
 import time
 import traceback
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from pathlib import Path
 
 import trio
@@ -35,50 +35,63 @@
 LAST_PART = 0.93
 WATCH_SETTINGS_S = 1.0
 METRICS_PATH = "/metrics"
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 MakeSurroundings = Callable[[Settings], Surroundings]
 
 
 async def run_daemon(settings_path: str, make_surroundings: MakeSurroundings):
     """Run a gateway until SIGTERM, then stop without cutting a request."""
+    # Read first: what changes from here on is then seen to differ from it.
+    content = _content_of(settings_path)
     settings = load_settings(settings_path)
     log = DecisionLog(settings.vm, settings.failure_domain)
-    with log.writing():
+    # Held from before the first socket until after the last line: whatever comes
+    # while no receiver is open ends the process at once, with all its requests.
+    with trio.open_signal_receiver(*SIGNALS) as signals, log.writing():
         # Wall clock, but only as an identity: it is compared with nothing but
         # earlier starts of this same VM.
         incarnation = time.time_ns() // 1_000_000
         context = Context(settings, make_surroundings(settings), log, incarnation)
         log.event("start", incarnation=incarnation, settings=settings_path)
-        await _Daemon(Gateway(context), settings_path).run()
+        try:
+            await _Daemon(Gateway(context), settings_path, content).run(signals)
+        except Exception:
+            # Without a last line, an end by an error looks like an end by a signal.
+            log.event("ended by error", traceback=traceback.format_exc())
+            raise
         log.event("stop", dropped_lines=log.dropped)
 
 
 class _Daemon:
-    def __init__(self, gateway: Gateway, settings_path: str):
+    def __init__(self, gateway: Gateway, settings_path: str, content: bytes | None):
         self.gateway = gateway
         self.settings = gateway.context.settings
         self.settings_path = settings_path
         self.log = gateway.log
         self.stopping = Stopping()
+        self.stop_requested = trio.Event()
         self.closed = trio.Event()
-        self.settings_text = _text_of(settings_path)
+        self.settings_content = content
 
-    async def run(self):
+    async def run(self, signals: AsyncIterator[int]):
         gateway, listen = self.gateway, self.settings.listen
         state = StateHandler(gateway.replicas)
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._obey, signals)
             await self._serve(nursery, listen.ready, gateway.answer_readiness)
             await self._serve(nursery, listen.lookup, gateway.answer_lookup)
             await self._serve(nursery, listen.control, state.handle)
             await self._serve(nursery, listen.metrics, self._answer_metrics)
             nursery.start_soon(self._serve_callers, listen.callers)
-            nursery.start_soon(gateway.run)
+            # A stop that is asked for at once already tells other VMs.
+            await nursery.start(gateway.run)
             nursery.start_soon(self._watch_settings)
             # What was made at the start lives on; the collector need not look
             # at it again, which takes 20 ms at a time.
             gc.collect()
             gc.freeze()
-            await self._until_told_to_stop()
+            await self.stop_requested.wait()
             await self._stop()
             nursery.cancel_scope.cancel()
 
@@ -120,14 +133,18 @@
 
     # Signals.
 
-    async def _until_told_to_stop(self):
-        signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-        with trio.open_signal_receiver(*signals) as received:
-            async for number in received:
-                if number != signal.SIGHUP:
-                    self.log.event("stop requested", signal=number)
-                    return
+    async def _obey(self, signals: AsyncIterator[int]):
+        """Act on signals, in whichever state they come, until cancelled."""
+        async for number in signals:
+            if number == signal.SIGHUP:
                 self._reload("signal")
+            elif self.stop_requested.is_set():
+                # Whoever asks twice gets the stop that is under way: to hurry
+                # it would cut requests that it lets run to their end.
+                self.log.event("stop requested again", signal=number)
+            else:
+                self.log.event("stop requested", signal=number)
+                self.stop_requested.set()
 
     async def _stop(self):
         """Steer callers away, then end what runs, within the time given."""
@@ -135,12 +152,17 @@
         began_at = trio.current_time()
         self.stopping.is_announced = True
         await self.gateway.announce_leaving()
+        self._log_stopping("leaving announced", within_s=within_s)
         await trio.sleep(accept_s(within_s))
         self.stopping.set()
+        self._log_stopping("no new connections")
         with trio.move_on_at(began_at + LAST_PART * within_s) as scope:
             await self.closed.wait()
-        if scope.cancelled_caught:
-            self.log.event("stopped late", in_flight=self.gateway.serving.in_flight)
+        self._log_stopping("stopped late" if scope.cancelled_caught else "callers gone")
+
+    def _log_stopping(self, step: str, **more):
+        """Write each step, so that the lines show in which one a process ended."""
+        self.log.event(step, in_flight=self.gateway.serving.in_flight, **more)
 
     # Settings.
 
@@ -148,11 +170,11 @@
         """Notice a settings file that changed without a signal."""
         while True:
             await trio.sleep(WATCH_SETTINGS_S)
-            if _text_of(self.settings_path) != self.settings_text:
+            if _content_of(self.settings_path) != self.settings_content:
                 self._reload("file changed")
 
     def _reload(self, cause: str):
-        self.settings_text = _text_of(self.settings_path)
+        self.settings_content = _content_of(self.settings_path)
         try:
             settings = load_settings(self.settings_path)
         except SettingsError as error:
@@ -178,7 +200,8 @@
     return await trio.open_tcp_listeners(int(port), host=host, backlog=BACKLOG)
 
 
-def _text_of(path: str) -> str | None:
+def _content_of(path: str) -> bytes | None:
+    # Bytes, for a file that is being written may hold what is no text.
     with contextlib.suppress(OSError):
-        return Path(path).read_text(encoding="utf-8")
+        return Path(path).read_bytes()
     return None
