Let the soak repeat SIGTERM until a stopping process is gone; it finds one more end

Cause: signals were repeated until the end of a process only as hangups. A stop that is asked for until the process is gone is what scripts that replace VMs do. Now one series sends SIGTERM every 0 to 50 ms from a moment in the stop on.

Ruled out: a cut request (`callers gone` with 0 in flight, no LOST). A supervisor sees a failed stop.

--- a/tests/platform/soak/signals.py
+++ b/tests/platform/soak/signals.py
@@ -11,12 +11,13 @@
 from .processes import Vm
 from .settings import START_S, SoakSettings
 
-# "hups" hangs up again and again: until a process that stops is gone, or until one
+# "hups" and "agains" go on and on: until a process that stops is gone, or until one
 # that starts is ready. "restart" waits for the process that follows.
 SERIES = {
     "stop_hup": ("stop", "hup"),
     "stop_hups": ("stop", "hups"),
     "stop_again": ("stop", "again"),
+    "stop_agains": ("stop", "agains"),
     "stop_change": ("stop", "change"),
     "hup_hup": ("hup", "hup"),
     "paused_hup_stop": ("pause", "hup", "stop", "resume"),
@@ -25,7 +26,9 @@
 }
 SENT = {
     "hup": signal.SIGHUP,
+    "hups": signal.SIGHUP,
     "again": signal.SIGTERM,
+    "agains": signal.SIGTERM,
     "pause": signal.SIGSTOP,
     "resume": signal.SIGCONT,
 }
@@ -87,8 +90,8 @@
                 process = await _next_process(vm, process)
             elif step == "change":
                 vm.change_settings()
-            elif step == "hups":
-                await _hang_up_often(vm, process, rng)
+            elif step in ("hups", "agains"):
+                await _send_often(vm, process, SENT[step], rng)
             elif vm.process is process:
                 if step == "hup" and rng.random() < 0.5:
                     vm.change_settings()
@@ -114,13 +117,13 @@
     return int(nanoseconds) / 1e9
 
 
-async def _hang_up_often(vm: Vm, process: trio.Process, rng: random.Random):
+async def _send_often(vm: Vm, process: trio.Process, number: int, rng: random.Random):
     with trio.move_on_after(START_S):
         while vm.process is process and process.returncode is None:
             if vm.is_ready and vm.stopping_since is None:
                 return
-            vm.send(signal.SIGHUP)
-            await trio.sleep(rng.uniform(0.0, 0.1))
+            vm.send(number)
+            await trio.sleep(rng.uniform(0.0, 0.05))
 
 
 async def _until_ready(vm: Vm, process: trio.Process):
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -107,12 +107,13 @@
         self.assertEqual(kinds, PINNED)
 
 
-# Told to stop, this program is busy for a while, in which it obeys no signal but
-# as the system does, as the gateway did.
+# Told to stop, this program is busy for a while, in which any further signal does
+# what the system lets it do, as at the gateway once.
 DEAF = """
 import signal, sys, time
 def stop(*_):
     signal.signal(signal.SIGHUP, signal.SIG_DFL)
+    signal.signal(signal.SIGTERM, signal.SIG_DFL)
     time.sleep(0.6)
     sys.exit(0)
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
@@ -123,6 +124,9 @@
     time.sleep(1)
 """
 MENDED = DEAF.replace("SIG_DFL", "SIG_IGN")
+LAST_MOMENT = """for number in (signal.SIGHUP, signal.SIGTERM):
+        signal.signal(number, signal.SIG_DFL)
+    time.sleep(0.1)"""
 NEVER_ENDS = MENDED.replace("sys.exit(0)", "time.sleep(60)")
 # Serves when it is first started, and never again.
 NEVER_READY = MENDED.replace(
@@ -174,9 +178,17 @@
 
     @on_real_clock
     async def test_signals_until_a_process_is_gone(self):
+        """A process that has written its last line takes 10 ms and more to be gone.
+
+        In these, a request to stop that was repeated ended it with status -15.
+        """
+        last_moment = MENDED.replace("sys.exit(0)", LAST_MOMENT)
         with mock.patch("tests.platform.soak.signals.GAPS_S", (0.3,)):
-            vm = await done(DEAF, "stop_hups")
-        self.assertEqual(found_at(vm), ["EXIT"])
+            for kind, status in (("stop_hups", -1), ("stop_agains", -15)):
+                for program in (DEAF, last_moment):
+                    vm = await done(program, kind)
+                    self.assertEqual(found_at(vm), ["EXIT"])
+                    self.assertIn(f"status {status} ", vm.wrong_ends[0])
 
     @on_real_clock
     async def test_process_that_does_not_end_in_its_time(self):
