Let the soak note a stall of its own that ends with its load

The stall of 9.5 s was not among those it noted: it went on until the load was to end, and the task that looks at the clock was cancelled before it looked. Ruled out: the gateways, which were not stopped, and whose other stalls were noted. It now looks also when it is cancelled.

--- a/tests/platform/soak/faults.py
+++ b/tests/platform/soak/faults.py
@@ -119,12 +119,18 @@
         """
         while True:
             woken_at = trio.current_time() + STALL_PERIOD_S
-            await trio.sleep(STALL_PERIOD_S)
-            now = trio.current_time()
-            if now - woken_at > STALL_S:
-                self.stalls_s.append(round(now - woken_at, 2))
-                stall = Disturbance("stall", ALL, woken_at - STALL_PERIOD_S, now)
-                self.disturbances.append(stall)
+            try:
+                await trio.sleep(STALL_PERIOD_S)
+            finally:
+                # Also when the load ends in the moment in which a stall does.
+                self._note_stall(woken_at)
+
+    def _note_stall(self, woken_at: float):
+        now = trio.current_time()
+        if now - woken_at > STALL_S:
+            self.stalls_s.append(round(now - woken_at, 2))
+            stall = Disturbance("stall", ALL, woken_at - STALL_PERIOD_S, now)
+            self.disturbances.append(stall)
 
     async def run(self, plan: list[Fault]):
         """Do all faults of a plan, each in its time."""
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -3,6 +3,7 @@
 import signal
 import sys
 import tempfile
+import time
 import unittest
 from pathlib import Path
 from unittest import mock
@@ -234,6 +235,25 @@
             self.assertEqual(found, [] if is_right else ["EXIT"], (status, more))
 
 
+class TestOwnStalls(unittest.TestCase):
+    @on_real_clock
+    async def test_stall_in_the_last_moment(self):
+        """The soak stood still for 9.5 s until its load was to end.
+
+        Requests that had been on their way took as long, at three VMs at once,
+        and were found HELD: whoever notes stalls was cancelled in that moment,
+        before it had looked at the clock.
+        """
+        faults = Faults(World(SETTINGS), [])
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(faults.watch_own_stalls)
+            await trio.sleep(0.25)
+            time.sleep(0.8)
+            nursery.cancel_scope.cancel()
+        self.assertEqual([one.kind for one in faults.disturbances], ["stall"])
+        self.assertGreater(faults.stalls_s[0], 0.5)
+
+
 class TestPromises(unittest.TestCase):
     def test_nothing_is_found_where_all_is_well(self):
         self.assertEqual(rules([make_seen()], [make_run()]), [])
