Send nothing on for a caller that has left

What callers saw: none of those who had left; but a booking ran for nobody.

Cause: a request that is not idempotent is not broken off when its caller leaves, so nobody watched for that, and the refusal of one target sent it on to the next. Ruled out: idempotent requests, which are cancelled. Why it holds: the caller is watched for every request; a run under way is let end as before, and no further attempt begins once it has left. The test failed before (2 targets asked, 1 expected) and passes; 115 tests of the server, the gateway and the whole path pass.

--- a/packages/gateway/plantainshed_gateway/serving.py
+++ b/packages/gateway/plantainshed_gateway/serving.py
@@ -146,7 +146,8 @@
             if not call.route.is_idempotent:
                 # A run that was begun is let end though its caller has left:
                 # broken off, nobody could tell whether it had taken effect.
-                await self._attempt_until_answered(exchange, call)
+                async with exchange.noticing_when_caller_leaves():
+                    await self._attempt_until_answered(exchange, call)
                 return
             async with exchange.cancelled_when_caller_leaves() as caller:
                 await self._attempt_until_answered(exchange, call)
@@ -169,6 +170,10 @@
             failure = await self._attempt(exchange, call, state)
             if failure is None:
                 return
+            if exchange.caller_has_left:
+                # Another target would run it for nobody.
+                self._log(call, HTTPStatus.BAD_GATEWAY, Reason.CALLER_LEFT)
+                return
             if not self._may_try_again(call, failure):
                 raise self._given_up(call, failure.reason, str(failure))
             self.metrics.count_retry(failure.reason, call.pool)
--- a/packages/http/plantainshed_http/server.py
+++ b/packages/http/plantainshed_http/server.py
@@ -155,6 +155,8 @@
         self.request = request
         self.caller = caller
         self.started = False
+        self.caller_has_left = False
+        self._on_caller_left: Callable[[], None] = lambda: None
 
     async def body(self) -> AsyncIterator[bytes]:
         """Yield the request's body, a piece at a time."""
@@ -208,11 +210,28 @@
         a caller who has long gone. Use it after the body has been read: what
         arrives then is the end of the stream or the start of a next request.
         """
-        async with open_plain_nursery() as nursery:
-            nursery.start_soon(self._connection.watch_for_end, nursery.cancel_scope)
+        async with self._watching_caller() as nursery:
+            self._on_caller_left = nursery.cancel_scope.cancel
             yield nursery.cancel_scope
+
+    @contextlib.asynccontextmanager
+    async def noticing_when_caller_leaves(self):
+        """Set `caller_has_left` when the caller closes its side meanwhile."""
+        async with self._watching_caller():
+            yield
+
+    @contextlib.asynccontextmanager
+    async def _watching_caller(self):
+        async with open_plain_nursery() as nursery:
+            nursery.start_soon(self._watch_caller)
+            yield nursery
             nursery.cancel_scope.cancel()
 
+    async def _watch_caller(self):
+        if await self._connection.wait_for_end():
+            self.caller_has_left = True
+            self._on_caller_left()
+
 
 class _Connection:
     def __init__(self, stream, handler, stopping, limits, report):
@@ -330,7 +349,8 @@
                 raise CallerLeft("the caller left in the middle of the body")
         return None
 
-    async def watch_for_end(self, scope: trio.CancelScope):
+    async def wait_for_end(self) -> bool:
+        """Wait until the caller sends something; True if that is its end."""
         try:
             data = await self.stream.receive_some(READ_BYTES)
         except SOCKET_ERRORS:
@@ -339,8 +359,7 @@
             # The caller already sends its next request. It is kept for later;
             # reading no more of it bounds what is buffered.
             self.h11.receive_data(data)
-            return
-        scope.cancel()
+        return not data
 
     def begin_answer(self, status: int, headers: Headers):
         closes = self.stopping.is_set or self.stopping.is_announced
--- a/tests/platform/target_standin.py
+++ b/tests/platform/target_standin.py
@@ -31,6 +31,10 @@
         More requests at once are shed, said not to have run.
     takes_s : float
         How long a run takes.
+    queues_s : float
+        How long a request waits before it is shed.
+    shed : int
+        Requests that came and were shed, or wait for it.
     spoils : list of str
         How the next answers go wrong: ``unsigned``, ``encoded``, ``truncated``,
         ``reset``, ``extra`` (another request's answer first), ``after`` (bytes
@@ -43,6 +47,8 @@
     instance: str
     slots: int = 4
     takes_s: float = 0.0
+    queues_s: float = 0.0
+    shed: int = 0
     spoils: list[str] = field(factory=list)
     body: bytes = b"the target's bytes"
     runs: list[Run] = field(factory=list)
@@ -73,6 +79,8 @@
             await self._reply(stream, connection, 421, headers, b"")
             return True
         if self.running >= self.slots:
+            self.shed += 1
+            await trio.sleep(self.queues_s)
             more = [("Not-Executed", "1")]
             await self._reply(stream, connection, 503, headers, b"", more)
             return True
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -297,6 +297,26 @@
             await path.until(lambda: path.gateway.serving.in_flight == 0)
             self.assertEqual(path.lines("dropped")[0]["reason"], "caller_left")
 
+    @on_real_clock
+    async def test_nothing_is_sent_on_for_a_caller_that_has_left(self):
+        """A caller gives up a booking that waits in a full target's queue.
+
+        The target says later that it has not run it, and the VM sends it to
+        another, which runs it for nobody: a seat is taken that nobody knows of.
+        A booking is not broken off when its caller leaves, so nobody looked.
+        """
+        async with running_path(2, slots=0, queues_s=0.3) as path:
+            stream = await path.connect()
+            await stream.send_all(
+                f"POST /book/1 HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: r\r\n"
+                f"Authorization: Bearer {KEY}\r\nContent-Length: 0\r\n\r\n".encode()
+            )
+            await path.until(lambda: sum(t.shed for t in path.targets) == 1)
+            await stream.aclose()
+            await path.until(lambda: path.gateway.serving.in_flight == 0)
+            self.assertEqual(sum(target.shed for target in path.targets), 1)
+            self.assertEqual(path.lines("dropped")[0]["reason"], "caller_left")
+
     @on_real_clock
     async def test_non_idempotent_run_goes_on_when_its_caller_leaves(self):
         async with running_path(1, takes_s=0.3) as path:
