Let a budget go that a document takes away while it is borrowed or moved

Callers saw: all requests on the VM cut, and its entry daemon ended, when a document that took a workspace or target away came into force while a request borrowed tokens for it or its parts were being moved.

Cause: after a round trip, `Lending._borrow_tokens` and the plan's `next_entry` and `pass_on_level` looked the budget up by name; KeyError left `Node.run`.

Why it holds: `Holdings` answers for an absent budget (`rate` and `count` give None, `is_in_force` tells of a part kept over an await); the plan is given specs that were read after the round trip and looks nothing up by name. A budget that went gets no next entry, and its old one is deleted as for any removed budget. Nothing is added to any part, so that no rate is exceeded by it.

--- a/packages/coordination/plantainshed_coordination/holdings.py
+++ b/packages/coordination/plantainshed_coordination/holdings.py
@@ -95,13 +95,24 @@
             elif part.spec != spec:
                 part.set_spec(spec)
 
-    def rate(self, name: str) -> RatePart:
-        """Return the part of a rate budget."""
-        return self.parts[name]
-
-    def count(self, name: str) -> CountPart:
-        """Return the part of a count budget."""
-        return self.parts[name]
+    def rate(self, name: str) -> RatePart | None:
+        """Return the part of a rate budget, None if there is no such budget."""
+        part = self.parts.get(name)
+        return part if isinstance(part, RatePart) else None
+
+    def count(self, name: str) -> CountPart | None:
+        """Return the part of a count budget, None if there is no such budget."""
+        part = self.parts.get(name)
+        return part if isinstance(part, CountPart) else None
+
+    def is_in_force(self, part: AnyPart) -> bool:
+        """Tell whether a part is still one of this VM's.
+
+        Whoever kept a part over an await asks: a document can have taken its
+        budget away, and given back one of the same name whose parts start anew.
+        Tokens of the old part would then be used beside those of the new ones.
+        """
+        return self.parts.get(part.spec.name) is part
 
     def shards(self) -> list[str]:
         """Return the shards that this VM's budgets stand in."""
--- a/packages/coordination/plantainshed_coordination/lending.py
+++ b/packages/coordination/plantainshed_coordination/lending.py
@@ -130,9 +130,12 @@
         """Take one token of a rate budget, borrowing it if need be.
 
         False means that neither this VM nor those it could ask in time had
-        one. The wait is one round trip or two, never until a deadline.
+        one, or that the budget is gone. The wait is one round trip or two,
+        never until a deadline.
         """
         part = self.holdings.rate(name)
+        if part is None:
+            return False
         part.demand.add(1)
         if part.try_take():
             return True
@@ -142,6 +145,8 @@
                 if self._is_dry(name):
                     break
                 last = await self._one_round(name, part)
+                if not self.holdings.is_in_force(part):
+                    return False
                 if part.try_take():
                     return True
                 # Refusing on a late loan would turn away a workspace that is
@@ -157,7 +162,7 @@
         if wait_s > MAX_REFILL_WAIT_S:
             return False
         await trio.sleep(wait_s)
-        return part.try_take()
+        return self.holdings.is_in_force(part) and part.try_take()
 
     def _is_dry(self, name: str) -> bool:
         spell = self._dry.get(name)
@@ -181,7 +186,7 @@
         ahead = part.demand.read() * PREFETCH_S
         for _ in range(TRIES_A_ROUND):
             missing = self._waiting[name] - part.available()
-            if missing <= 0:
+            if missing <= 0 or not self.holdings.is_in_force(part):
                 break
             await self._learn_what_is_left(name, missing, own)
             plan = self._plan_loans(name, missing, ahead)
@@ -189,7 +194,7 @@
                 break
             async with trio.open_nursery() as nursery:
                 for vm, amount in plan.items():
-                    nursery.start_soon(self._borrow_tokens, vm, name, amount, own)
+                    nursery.start_soon(self._borrow_tokens, vm, part, amount, own)
             part.refill()
         if part.available() >= 1:
             self._dry.pop(name, None)
@@ -258,10 +263,14 @@
         own = self.membership.identity.failure_domain
         return self.membership.failure_domain_of(vm) == own
 
-    async def _borrow_tokens(self, vm: str, name: str, amount: float, own: Round):
+    async def _borrow_tokens(self, vm: str, part: RatePart, amount: float, own: Round):
         asked_at = trio.current_time()
-        lent = await self._ask(vm, name, amount, own)
-        if lent and not self.holdings.rate(name).receive_loan(lent, asked_at):
+        lent = await self._ask(vm, part.spec.name, amount, own)
+        if not self.holdings.is_in_force(part):
+            # An error here would end the process. What was lent for a budget
+            # that has gone lapses, as a loan does whose answer was lost.
+            return
+        if lent and not part.receive_loan(lent, asked_at):
             own.is_late = True
 
     async def _ask(self, vm: str, name: str, amount: float, own: Round) -> float:
--- a/packages/coordination/plantainshed_coordination/rebalance_plan.py
+++ b/packages/coordination/plantainshed_coordination/rebalance_plan.py
@@ -154,10 +154,10 @@
                     yield Fall(holder, name, target.get(holder, 0))
 
     def next_entry(
-        self, ledger: Ledger, name: str, target: dict[str, int], lowered: Kept
+        self, ledger: Ledger, spec: BudgetSpec, target: dict[str, int], lowered: Kept
     ) -> LedgerEntry:
         """Return a budget's next entry: what was lowered can be given to others."""
-        spec = self.holdings.parts[name].spec
+        name = spec.name
         entry = ledger.entries.get(name)
         if entry is None:
             return LedgerEntry(spec.units, dict(target))
@@ -177,7 +177,7 @@
         return LedgerEntry(total, {h: u for h, u in parts.items() if u})
 
     def pass_on_level(
-        self, before: Ledger, name: str, entry: LedgerEntry, lowered: Kept
+        self, before: Ledger, spec: BudgetSpec, entry: LedgerEntry, lowered: Kept
     ) -> Levels:
         """Return the tokens that come with each raised part, by (holder, budget).
 
@@ -185,7 +185,7 @@
         would lose its burst whenever its callers move to another VM. A budget
         that never was in the ledger starts full.
         """
-        spec = self.holdings.parts[name].spec
+        name = spec.name
         if spec.kind is not BudgetKind.RATE:
             return {}
         old = before.entries.get(name)
--- a/packages/coordination/plantainshed_coordination/rebalancer.py
+++ b/packages/coordination/plantainshed_coordination/rebalancer.py
@@ -148,12 +148,18 @@
         lowered = await self._collect(falls, before.version + 1, mark)
         changed = False
         levels: Levels = {}
-        for name, wanted_parts in targets.items():
-            entry = self.plan.next_entry(before, name, wanted_parts, lowered)
+        # Asked anew: a document can have taken budgets away during the round
+        # trip. They get no next entry, and the one they have goes, so that
+        # nobody keeps a part of them.
+        known = {spec.name: spec for spec in self.plan.specs()}
+        for name, spec in known.items():
+            if name not in targets:
+                continue
+            entry = self.plan.next_entry(before, spec, targets[name], lowered)
             changed |= entry != before.entries.get(name)
             after.entries[name] = entry
-            levels.update(self.plan.pass_on_level(before, name, entry, lowered))
-        for name in before.entries.keys() - {spec.name for spec in self.plan.specs()}:
+            levels.update(self.plan.pass_on_level(before, spec, entry, lowered))
+        for name in before.entries.keys() - known.keys():
             changed = True
             del after.entries[name]
         if changed or self._somebody_waits_for(before.version):
--- a/tests/coordination/test_removed_budgets.py
+++ b/tests/coordination/test_removed_budgets.py
@@ -13,6 +13,9 @@
 
 # So slow a rate that within a test only a loan brings another token.
 SLOW = BudgetSpec("workspace/comune", BudgetKind.RATE, rate=0.2, burst=8.0)
+# So quick a rate that a request waits for its token rather than be refused.
+QUICK = BudgetSpec("workspace/comune", BudgetKind.RATE, rate=25.0, burst=8.0)
+ONE_VM = (("a-1", "a"),)
 TWO_VMS = (("a-1", "a"), ("b-1", "b"))
 SETTLE_S = 8.0
 
@@ -42,6 +45,35 @@
                 # Admitted or refused; no other end.
                 await vms["a-1"].lending.take(SLOW.name)
 
+    @on_mock_clock
+    async def test_while_a_request_waits_for_a_refill(self):
+        # A budget of the same name may be back, with parts that start anew.
+        for given_back in ([], [QUICK]):
+            with self.subTest(given_back=given_back):
+                await self.refill_while_removed(given_back)
+
+    async def refill_while_removed(self, given_back: list[BudgetSpec]):
+        fleet = PartsFleet(ONE_VM, specs=[QUICK])
+        async with fleet.running() as vms:
+            await trio.sleep(SETTLE_S)
+            holdings = vms["a-1"].holdings
+            part = holdings.rate(QUICK.name)
+            while part.try_take():
+                pass
+            admitted = []
+
+            async def take():
+                admitted.append(await vms["a-1"].lending.take(QUICK.name))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(take)
+                await trio.sleep(0.01)
+                holdings.set_specs([])
+                holdings.set_specs(given_back)
+            self.assertEqual(admitted, [False])
+            holdings.set_specs([])
+            self.assertFalse(await vms["a-1"].lending.take(QUICK.name))
+
     @on_mock_clock
     async def test_while_its_parts_are_moved(self):
         fleet = PartsFleet(FOUR_VMS)
@@ -60,8 +92,11 @@
                 holder = next(
                     vm
                     for vm in vms.values()
-                    if any(r.lease.is_held for r in vm.rebalancers.values()
-                           if r.plan.specs())
+                    if any(
+                        r.lease.is_held
+                        for r in vm.rebalancers.values()
+                        if r.plan.specs()
+                    )
                 )
                 seen = []
                 for r in holder.rebalancers.values():
@@ -77,6 +112,9 @@
                     r._collect = collect
                 await trio.sleep(10)
                 self.assertTrue(seen)
+                for r in holder.rebalancers.values():
+                    if r.lease.is_held and r.ledger is not None:
+                        self.assertNotIn(WORKSPACE.name, r.ledger.entries)
 
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(ask)
