Refuse a deadline header whose digits are no number, instead of ending

Callers saw: all requests on the VM cut after one caller with a key had sent `request-timeout-ms: ²`, or 5000 digits.

Cause: `isdigit` is true of the superscript, and `int` raises on it; `int` also raises above 4300 digits. The ValueError left the connection's task.

Ruled out: `isascii` with `isdigit` alone, which still raises on many digits.

Why it holds: the header is 1 to 20 ASCII digits before it is converted; the answer is the 400 that names the header, as for any other bad value.

--- a/packages/entry/plantainshed_entry/serving.py
+++ b/packages/entry/plantainshed_entry/serving.py
@@ -4,6 +4,7 @@
 before, which target answers it, and what the caller is told if none does.
 """
 
+import re
 import secrets
 
 import orjson
@@ -40,6 +41,9 @@
 REPEAT_HEADER = b"plantainshed-repeat"
 BUFFERED_BODY_BYTES = 64 * 1024
 MAX_TIMEOUT_MS = 3_600_000
+# Stricter than `isdigit`, which is also true of digits that `int` raises on, and
+# short enough for it: an error there would end the process.
+MILLISECONDS = re.compile(r"[0-9]{1,20}")
 REQUEST_ID_BYTES = 8
 IN_PROGRESS_RETRY_AFTER_S = 1.0
 
@@ -263,7 +267,7 @@
     text = head.header(DEADLINE_HEADER)
     if text is None:
         return pool.timeout_s
-    if not text.isdigit() or not 0 < int(text) <= MAX_TIMEOUT_MS:
+    if not MILLISECONDS.fullmatch(text) or not 0 < int(text) <= MAX_TIMEOUT_MS:
         raise Refusal(
             Reason.BAD_REQUEST,
             f"request-timeout-ms: {text!r} must be 1 to {MAX_TIMEOUT_MS} milliseconds",
--- /dev/null
+++ b/tests/entry/test_timeout_header.py
@@ -0,0 +1,36 @@
+"""The header in which callers say how long they wait."""
+
+import unittest
+
+from plantainshed_entry.errors import Refusal
+from plantainshed_entry.reasons import STATUS
+from plantainshed_entry.serving import MAX_TIMEOUT_MS, _timeout_s
+from plantainshed_http.messages import RequestHead
+from plantainshed_model.document import Pool
+
+POOL = Pool("prenota", "/prenota", slots=4, connections=8, timeout_s=60.0)
+NO_MILLISECONDS = (
+    *("", "0", "-1", "+1", "1.5", "1 0", "x", "1\n"),
+    *("\xb2", "1\xb2", "\xb9", "\xbd"),
+    *(str(MAX_TIMEOUT_MS + 1), "9" * 20, "9" * 5000),
+)
+
+
+def timeout_s(text: str) -> float:
+    headers = [(b"request-timeout-ms", text.encode("latin-1"))]
+    return _timeout_s(RequestHead("GET", "/prenota/1", headers), POOL)
+
+
+class TestTimeoutHeader(unittest.TestCase):
+    def test_milliseconds(self):
+        for text, seconds in (("1", 0.001), ("0250", 0.25), ("3600000", 60.0)):
+            with self.subTest(text=text):
+                self.assertEqual(timeout_s(text), seconds)
+
+    def test_what_is_no_number_of_milliseconds_is_refused_by_name(self):
+        for text in NO_MILLISECONDS:
+            with self.subTest(text=text[:30]):
+                with self.assertRaises(Refusal) as caught:
+                    timeout_s(text)
+                self.assertEqual(STATUS[caught.exception.reason], 400)
+                self.assertIn("request-timeout-ms", caught.exception.message)
