Take a load that is no number for no load report

Callers saw: all requests on the VM cut when a target answered a health check, or a caller, with the header `plantainshed-load: ²`.

Cause: probe and relay each checked with `isdigit`, which is true of the superscript; `float` raises on it, and the ValueError left the node's task.

Ruled out: mending the probe only; the relay read the header in the same way.

Why it holds: one function reads the header for both, ASCII digits with a point at most, 20 on each side, so that `float` gives a finite number. Anything else is no report: 0 for a probe, nothing learnt from an answer, and no log line, as for other unreadable loads until now.

--- a/packages/entry/plantainshed_entry/http_probe.py
+++ b/packages/entry/plantainshed_entry/http_probe.py
@@ -4,7 +4,7 @@
 from plantainshed_http.errors import HttpError
 
 from .probing import PROBE_TIMEOUT_S
-from .relay import DRAINING_HEADER, LOAD_HEADER
+from .relay import DRAINING_HEADER, reported_load
 from .targets import ProbeNews, TargetState
 
 
@@ -19,9 +19,8 @@
         )
     except HttpError:
         return ProbeNews(healthy=False, draining=False, load=0.0)
-    load = head.header(LOAD_HEADER) or "0"
     return ProbeNews(
         healthy=200 <= head.status < 300,
         draining=head.header(DRAINING_HEADER) is not None,
-        load=float(load) if load.replace(".", "", 1).isdigit() else 0.0,
+        load=reported_load(head) or 0.0,
     )
--- a/packages/entry/plantainshed_entry/relay.py
+++ b/packages/entry/plantainshed_entry/relay.py
@@ -6,6 +6,7 @@
 """
 
 import contextlib
+import re
 from collections import deque
 from collections.abc import Callable
 
@@ -14,7 +15,12 @@
 from plantainshed_coordination.nurseries import open_plain_nursery
 from plantainshed_http.client import ClientConnection
 from plantainshed_http.errors import ConnectFailed, ConnectionBroken
-from plantainshed_http.messages import Headers, RequestHead, end_to_end
+from plantainshed_http.messages import (
+    Headers,
+    RequestHead,
+    ResponseHead,
+    end_to_end,
+)
 
 from .call import Call
 from .errors import AttemptFailed
@@ -37,6 +43,9 @@
 )
 NOT_RUN_HEADER = b"plantainshed-not-run"
 LOAD_HEADER = b"plantainshed-load"
+# Stricter than `isdigit`, which is also true of digits that `float` raises on,
+# and short enough to be finite: an error there would end the process.
+LOAD = re.compile(r"(?=.?[0-9])[0-9]{0,20}(\.[0-9]{0,20})?")
 DRAINING_HEADER = b"plantainshed-draining"
 IDLE_FOR_EACH_SLOT = 2
 
@@ -211,12 +220,20 @@
     return kept
 
 
-def _learn_from_answer(state: TargetState, head):
+def reported_load(head: ResponseHead) -> float | None:
+    """Return the load that a target reports; None if it reports no number."""
+    text = head.header(LOAD_HEADER)
+    if text is None or not LOAD.fullmatch(text):
+        return None
+    return float(text)
+
+
+def _learn_from_answer(state: TargetState, head: ResponseHead):
     if head.header(DRAINING_HEADER):
         state.draining_at = trio.current_time()
-    load = head.header(LOAD_HEADER)
-    if load is None or not load.replace(".", "", 1).isdigit():
+    load = reported_load(head)
+    if load is None:
         return
     healthy = state.probe.healthy if state.probe else True
-    state.probe = ProbeNews(healthy, state.is_leaving, float(load))
+    state.probe = ProbeNews(healthy, state.is_leaving, load)
     state.probe_at = trio.current_time()
