Refuse a request without a Host with 400 instead of ending

Callers saw: all requests on the VM cut after one caller with a key had sent an HTTP/1.0 request without a Host header.

Cause: HTTP/1.0 needs no Host, the HTTP/1.1 that goes on to a target does. `send_head` made the event outside the guard of `_add`, and h11 checks it when it is made; its LocalProtocolError left the HTTP layer and the connection's task.

Ruled out: `ConnectionBroken`, which the relay takes for a fault of the target and tries at others; a plain `HttpError`, which servers that pass requests on let through to the end of their process.

Why it holds: `UnsendableRequest` is raised before any byte is added. The relay makes it the refusal `bad_request`, not run, and blames no target. As a `BadMessage` it is a 400 in any server that does not catch it.

--- a/packages/entry/plantainshed_entry/relay.py
+++ b/packages/entry/plantainshed_entry/relay.py
@@ -14,7 +14,11 @@
 
 from plantainshed_coordination.nurseries import open_plain_nursery
 from plantainshed_http.client import ClientConnection
-from plantainshed_http.errors import ConnectFailed, ConnectionBroken
+from plantainshed_http.errors import (
+    ConnectFailed,
+    ConnectionBroken,
+    UnsendableRequest,
+)
 from plantainshed_http.messages import (
     Headers,
     RequestHead,
@@ -23,8 +27,8 @@
 )
 
 from .call import Call
-from .errors import AttemptFailed
-from .reasons import Outcome
+from .errors import AttemptFailed, Refusal
+from .reasons import Outcome, Reason
 from .targets import ProbeNews, TargetState
 
 CONNECT_TIMEOUT_S = 1.0
@@ -69,7 +73,10 @@
         self.vm_count: Callable[[], int] = lambda: 1
 
     async def run(self, call: Call, state: TargetState):
-        """Run one attempt, or raise `AttemptFailed`."""
+        """Run one attempt, or raise `AttemptFailed`.
+
+        A request that no target can be sent raises `Refusal`.
+        """
         connection = await self._connection(state)
         reusable = False
         try:
@@ -125,6 +132,9 @@
                 await self._answer(call, state, connection, head)
             else:
                 await self._stream_both_ways(call, state, connection)
+        except UnsendableRequest as error:
+            # The caller's fault, not the target's: it blames and tries no other.
+            raise Refusal(Reason.BAD_REQUEST, error.reason) from error
         except ConnectionBroken as error:
             raise AttemptFailed(
                 f"target {state.target.name} broke off: {error}",
--- a/packages/http/plantainshed_http/client.py
+++ b/packages/http/plantainshed_http/client.py
@@ -8,7 +8,7 @@
 import h11
 import trio
 
-from .errors import ConnectFailed, ConnectionBroken
+from .errors import ConnectFailed, ConnectionBroken, UnsendableRequest
 from .messages import MAX_HEAD_BYTES, READ_BYTES, Headers, ResponseHead
 
 SOCKET_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError)
@@ -54,12 +54,18 @@
         return cls(stream, address)
 
     async def send_head(self, method: str, target: str, headers: Headers):
-        """Begin a request. Its head leaves with what follows."""
+        """Begin a request. Its head leaves with what follows.
+
+        Raises
+        ------
+        UnsendableRequest
+            If HTTP does not allow it, as one without a Host. Nothing was sent.
+        """
         if self.h11.our_state is h11.DONE:
             self.h11.start_next_cycle()
         self.touched = False
         self.method = method
-        self._add(h11.Request(method=method, target=target, headers=headers))
+        self._add(_checked_request(method, target, headers))
 
     async def send_body(self, chunk: bytes):
         """Send a piece of the body."""
@@ -188,6 +194,14 @@
             self.h11.receive_data(data)
 
 
+def _checked_request(method: str, target: str, headers: Headers) -> h11.Request:
+    # The event checks itself when it is made, not only when it is sent.
+    try:
+        return h11.Request(method=method, target=target, headers=headers)
+    except h11.LocalProtocolError as error:
+        raise UnsendableRequest(f"the request cannot be sent on: {error}") from error
+
+
 def notice_dead_peer(stream: trio.SocketStream):
     """Let the kernel end a connection whose other side has gone silent.
 
--- a/packages/http/plantainshed_http/errors.py
+++ b/packages/http/plantainshed_http/errors.py
@@ -22,6 +22,17 @@
         self.reason = reason
 
 
+class UnsendableRequest(BadMessage):
+    """A request that HTTP does not allow; nothing of it was sent.
+
+    It is a `BadMessage` for servers that pass on what a caller sent: the fault
+    is the caller's, and the answer 400.
+    """
+
+    def __init__(self, reason):
+        super().__init__(400, reason)
+
+
 class ConnectFailed(HttpError):
     """No connection could be opened; nothing was sent."""
 
--- a/tests/entry/test_daemon.py
+++ b/tests/entry/test_daemon.py
@@ -262,6 +262,21 @@
             head, body = await c.request("GET", "/prenota/1", [key])
             self.assertEqual(head.status, 200)
 
+    @on_real_clock
+    async def test_request_without_a_host_is_refused_and_not_run(self):
+        async with running_daemon() as running:
+            answer = await raw_exchange(
+                running.address,
+                b"GET /prenota/1 HTTP/1.0\r\nauthorization: Bearer "
+                + KEY.text.encode()
+                + b"\r\n\r\n",
+            )
+            self.assertTrue(answer.startswith(b"HTTP/1.1 400 "), answer)
+            self.assertIn(b'"reason":"bad_request","outcome":"not-run"', answer)
+            self.assertEqual(running.target.runs["/prenota/1"], 0)
+            head, _ = await running.call()
+            self.assertEqual(head.status, 200)
+
     @on_real_clock
     async def test_own_pages(self):
         async with running_daemon() as running:
--- /dev/null
+++ b/tests/http/test_client.py
@@ -0,0 +1,37 @@
+"""Requests that the client is asked to send and cannot."""
+
+import unittest
+
+from plantainshed_http.client import connected
+from plantainshed_http.errors import UnsendableRequest
+from tests.http_support import serving
+from tests.support import on_real_clock
+
+UNSENDABLE = (
+    ("no host", "/", []),
+    ("two hosts", "/", [(b"host", b"a"), (b"host", b"b")]),
+    ("a line break in a header", "/", [(b"host", b"a"), (b"x", b"1\r\ny: 2")]),
+    ("a space in the target", "/a b", [(b"host", b"a")]),
+)
+
+
+class TestUnsendableRequests(unittest.TestCase):
+    @on_real_clock
+    async def test_typed_error_and_nothing_sent(self):
+        seen = []
+
+        async def handle(exchange):
+            seen.append(exchange.request.target)
+            await exchange.reply(200, [], b"whole")
+
+        async with serving(handle) as (address, _), connected(address, 2) as client:
+            for what, target, headers in UNSENDABLE:
+                with self.subTest(what):
+                    with self.assertRaises(UnsendableRequest) as caught:
+                        await client.send_head("GET", target, headers)
+                    self.assertEqual(caught.exception.status, 400)
+                    self.assertFalse(client.touched)
+                    self.assertEqual(client.unsent, b"")
+            head, body = await client.request("GET", "/last")
+            self.assertEqual((head.status, body), (200, b"whole"))
+        self.assertEqual(seen, ["/last"])
