Let a fault of the entry daemon cost one request, not the process

Callers saw: any error of the program in one request cut those of all others on the VM, since it left the connection's task and ended the process.

Cause: only errors that a connection knows how to end with were caught.

Ruled out: letting all `HttpError` through, as the gateway does: the server catches only `BadMessage` and `CallerLeft` of them, so that the others would end the process just the same.

Why it holds: `Handlers.handle` sees every exchange, also those of own paths. What the server does not catch becomes a log line with its traceback, and 502 with the outcome `unknown`, as a target may have run the request; if part of an answer has gone out, the connection is broken off. Errors in the server's own code (a HEAD that it refuses itself) and in the node's other tasks do not pass here.

--- a/packages/entry/plantainshed_entry/handlers.py
+++ b/packages/entry/plantainshed_entry/handlers.py
@@ -4,11 +4,13 @@
 
 import orjson
 
-from plantainshed_http.server import Exchange
+from plantainshed_http.errors import BadMessage, CallerLeft
+from plantainshed_http.server import SOCKET_ERRORS, Exchange
 
 from .errors import Refusal
 from .node import Node
-from .reasons import STATUS
+from .reasons import STATUS, Outcome
+from .serving import OUTCOME_HEADER
 
 LOOKUP_PATH = "/plantainshed/lookup"
 HEALTH_PATH = "/healthz"
@@ -16,6 +18,8 @@
 METRICS_PATH = "/metrics"
 JSON_TYPE = (b"content-type", b"application/json")
 TEXT_TYPE = (b"content-type", b"text/plain; version=0.0.4; charset=utf-8")
+# What a server's connection knows how to end with.
+ENDS_OF_A_CONNECTION = (BadMessage, CallerLeft, *SOCKET_ERRORS)
 
 
 class Handlers:
@@ -31,7 +35,23 @@
         }
 
     async def handle(self, exchange: Exchange):
-        """Answer one exchange."""
+        """Answer one exchange; a fault of this program costs no other."""
+        try:
+            await self._answer(exchange)
+        except ENDS_OF_A_CONNECTION:
+            raise
+        except Exception:
+            # Let through, it would end the process and cut all that it serves.
+            self.node.log.exception(
+                "internal error", extra={"path": exchange.request.target}
+            )
+            if exchange.started:
+                raise CallerLeft("the answer cannot be completed") from None
+            # A target may have run the request before the fault.
+            outcome = (OUTCOME_HEADER, Outcome.UNKNOWN.encode())
+            await exchange.reply(502, [outcome], b"internal error\n")
+
+    async def _answer(self, exchange: Exchange):
         path = exchange.request.target.partition("?")[0]
         own = self.own_paths.get(path)
         if own is None:
