--- a/packages/gateway/plantainshed_gateway/daemon.py
+++ b/packages/gateway/plantainshed_gateway/daemon.py
@@ -11,7 +11,6 @@
 import trio
 
 from plantainshed_coordination.signals import open_signals
-from plantainshed_http.errors import CallerLeft, HttpError
 from plantainshed_http.server import (
     STOP_GRACE_S,
     Exchange,
@@ -51,14 +50,14 @@
         # earlier starts of this same VM.
         incarnation = time.time_ns() // 1_000_000
         context = Context(settings, make_surroundings(settings), log, incarnation)
-        log.event("start", incarnation=incarnation, settings=settings_path)
+        log.milestone("start", incarnation=incarnation, settings=settings_path)
         try:
             await _Daemon(Gateway(context), settings_path, content).run(signals)
         except Exception:
             # Without a last line, an end by an error looks like an end by a signal.
-            log.event("ended by error", traceback=traceback.format_exc())
+            log.milestone("ended by error", traceback=traceback.format_exc())
             raise
-        log.event("stop", dropped_lines=log.dropped)
+        log.milestone("stop", dropped_lines=log.dropped)
 
 
 class _Daemon:
@@ -96,27 +95,24 @@
     async def _serve(self, nursery, address: str, handler):
         if address:
             listeners = await _listen(address)
-            nursery.start_soon(serve_http, handler, listeners, Stopping())
+            nursery.start_soon(
+                serve_http, handler, listeners, Stopping(), None, self._report
+            )
 
     async def _serve_callers(self, address: str):
         listeners = await _listen(address)
         await serve_http(
-            self._answer_caller, listeners, self.stopping, self.gateway.limits
+            self.gateway.serving.serve,
+            listeners,
+            self.stopping,
+            self.gateway.limits,
+            self._report,
         )
         self.closed.set()
 
-    async def _answer_caller(self, exchange: Exchange):
-        try:
-            await self.gateway.serving.serve(exchange)
-        except (HttpError, trio.BrokenResourceError, trio.ClosedResourceError):
-            raise
-        except Exception:
-            # A fault of this program must cost one request, not the process
-            # and all that it is serving.
-            self.log.event("internal error", traceback=traceback.format_exc())
-            if exchange.started:
-                raise CallerLeft("the answer cannot be completed") from None
-            await exchange.reply(502, [], b"internal error\n")
+    def _report(self, error: Exception):
+        lines = traceback.format_exception(error)
+        self.log.event("internal error", traceback="".join(lines))
 
     async def _answer_metrics(self, exchange: Exchange):
         if exchange.request.target != METRICS_PATH:
@@ -141,7 +137,7 @@
                 # it would cut requests that it lets run to their end.
                 self.log.event("stop requested again", signal=number)
             else:
-                self.log.event("stop requested", signal=number)
+                self.log.milestone("stop requested", signal=number)
                 self.stop_requested.set()
 
     async def _stop(self):
@@ -150,8 +146,10 @@
         began_at = trio.current_time()
         self.stopping.is_announced = True
         await self.gateway.announce_leaving()
+        accept_until = began_at + accept_s(within_s)
+        self.gateway.serving.takes_until = accept_until + STOP_GRACE_S
         self._log_stopping("leaving announced", within_s=within_s)
-        await trio.sleep(accept_s(within_s))
+        await trio.sleep_until(accept_until)
         self.stopping.set()
         self._log_stopping("no new connections")
         with trio.move_on_at(began_at + LAST_PART * within_s) as scope:
@@ -160,7 +158,7 @@
 
     def _log_stopping(self, step: str, **more):
         """Write each step, so that the lines show in which one a process ended."""
-        self.log.event(step, in_flight=self.gateway.serving.in_flight, **more)
+        self.log.milestone(step, in_flight=self.gateway.serving.in_flight, **more)
 
     # Settings.
 
@@ -178,9 +176,14 @@
         except SettingsError as error:
             self.log.event("reload failed", cause=cause, problem=str(error))
             return
-        self.gateway.take_settings(settings)
-        self.log.event("reload", cause=cause, changed=settings != self.settings)
-        self.settings = settings
+        before = self.settings
+        self.settings = self.gateway.take_settings(settings)
+        self.log.event(
+            "reload",
+            cause=cause,
+            changed=self.settings != before,
+            needs_restart=settings != self.settings,
+        )
 
 
 def accept_s(within_s: float) -> float:
--- a/tests/platform/soak/__main__.py
+++ b/tests/platform/soak/__main__.py
@@ -1,6 +1,7 @@
 """Run a soak: ``python -m tests.platform.soak --seed=1 --duration=30``."""
 
 import json
+import os
 import shutil
 import sys
 import tempfile
@@ -16,13 +17,12 @@
 
 from .callers import Seen, make_callers
 from .faults import Faults, draw
-from .processes import running_vms
+from .processes import running_vms, scheduled_s
 from .promises import Findings, Promises
-from .settings import RECOVERY_S, SoakSettings
+from .settings import RECOVERY_S, START_S, SoakSettings
+from .signals import SERIES, draw_signals, run_signals
 from .world import running_world
 
-START_S = 25.0
-READY = b'"message":"ready"'
 END_PHASE_S = 6.0
 SHOWN_EACH = 3
 KEPT_LOGS = Path("target") / "soak"
@@ -67,7 +67,8 @@
         except BaseExceptionGroup as group:
             # Nested too deep to be printed; what ended the soak is at the leaves.
             causes = [f"{type(e).__name__}: {e}" for e in _leaves(group)]
-            print(json.dumps({"seed": seed, "failed": causes}))
+            kept = _keep(Path(folder), seed)
+            print(json.dumps({"seed": seed, "failed": causes, "logs": kept}))
             sys.exit(ExitCode.FAILED)
         if report["violations"]:
             report["logs"] = _keep(Path(folder), seed)
@@ -78,7 +79,7 @@
 
 async def _soak(settings: SoakSettings, folder: Path) -> dict:
     seen: list[Seen] = []
-    plan = draw(settings)
+    plan, series = draw(settings), draw_signals(settings)
     async with running_world(settings) as world:
         async with running_store(world.store) as store_address:
             async with running_vms(settings, store_address, folder) as vms:
@@ -89,7 +90,9 @@
                     load.start_soon(faults.watch_own_stalls)
                     for caller in callers:
                         load.start_soon(caller.run)
-                    await faults.run(plan)
+                    async with trio.open_nursery() as disturbing:
+                        disturbing.start_soon(faults.run, plan)
+                        disturbing.start_soon(run_signals, faults, series)
                     await trio.sleep(RECOVERY_S)
                     settled_at = trio.current_time()
                     await trio.sleep(END_PHASE_S)
@@ -97,17 +100,47 @@
                 ended_at = trio.current_time()
                 promises = Promises(world, vms, seen, faults.disturbances)
                 findings = promises.check(settled_at, ended_at)
-    return _report(settings, plan, seen, findings, faults.stalls_s)
+                report = _report(settings, plan, seen, findings, faults.stalls_s)
+                done = [d.kind for d in faults.disturbances if d.kind in SERIES]
+                report["signals"] = dict(Counter(done))
+                report["while_stopping"] = _while_stopping(vms, seen)
+    return report
 
 
 async def _until_ready(vms):
-    """Wait until each VM says in its log that it serves."""
+    """Wait until each VM says in its log that it serves.
+
+    Time in which it, or this process, waited for a processor does not count.
+    """
     for vm in vms:
-        with trio.move_on_after(START_S + 0.2 * len(vms)) as scope:
-            while not vm.log.exists() or READY not in vm.log.read_bytes():
-                await trio.sleep(0.1)
-        if scope.cancelled_caught:
-            raise TimeoutError(f"{vm.name} did not become ready")
+        began_at = trio.current_time()
+        own_s, vm_s = scheduled_s(os.getpid())[1], vm.waited_s
+        while not vm.is_ready:
+            waited_s = max(scheduled_s(os.getpid())[1] - own_s, vm.waited_s - vm_s, 0.0)
+            took_s = trio.current_time() - began_at
+            if took_s - waited_s > START_S + 0.2 * len(vms):
+                raise TimeoutError(
+                    f"{vm.name} was not ready after {took_s:.1f} s, of which it or the "
+                    f"soak waited {waited_s:.1f} s for a processor"
+                )
+            await trio.sleep(0.1)
+
+
+def _while_stopping(vms, seen: list[Seen]) -> dict:
+    """Return what callers sent to VMs that were stopping, to see that they do."""
+    stops = {vm.callers: vm.stops for vm in vms}
+    after_s = [
+        (one.sent_at - since, one.is_kept)
+        for one in seen
+        for since, until in stops.get(one.vm, ())
+        if since < one.sent_at < until
+    ]
+    return {
+        "stops": sum(map(len, stops.values())),
+        "requests": len(after_s),
+        "on_kept_connections": sum(is_kept for _, is_kept in after_s),
+        "last_after_s": round(max(after_s, default=(0.0,))[0], 2),
+    }
 
 
 def _leaves(error: BaseException):
@@ -133,7 +166,7 @@
 
 
 def _keep(folder: Path, seed: int) -> str:
-    """Keep the logs of a run that broke a promise."""
+    """Keep the logs of a run that broke a promise or did not end."""
     kept = KEPT_LOGS / f"seed-{seed}"
     shutil.rmtree(kept, ignore_errors=True)
     shutil.copytree(folder, kept)
