--- a/packages/entry/plantainshed_entry/relay.py
+++ b/packages/entry/plantainshed_entry/relay.py
@@ -6,6 +6,7 @@
 """
 
 import contextlib
+import re
 from collections import deque
 from collections.abc import Callable
 
@@ -13,12 +14,21 @@
 
 from plantainshed_coordination.nurseries import open_plain_nursery
 from plantainshed_http.client import ClientConnection
-from plantainshed_http.errors import ConnectFailed, ConnectionBroken
-from plantainshed_http.messages import Headers, RequestHead, end_to_end
+from plantainshed_http.errors import (
+    ConnectFailed,
+    ConnectionBroken,
+    UnsendableRequest,
+)
+from plantainshed_http.messages import (
+    Headers,
+    RequestHead,
+    ResponseHead,
+    end_to_end,
+)
 
 from .call import Call
-from .errors import AttemptFailed
-from .reasons import Outcome
+from .errors import AttemptFailed, Refusal
+from .reasons import Outcome, Reason
 from .targets import ProbeNews, TargetState
 
 CONNECT_TIMEOUT_S = 1.0
@@ -37,6 +47,9 @@
 )
 NOT_RUN_HEADER = b"plantainshed-not-run"
 LOAD_HEADER = b"plantainshed-load"
+# Stricter than `isdigit`, which is also true of digits that `float` raises on,
+# and short enough to be finite: an error there would end the process.
+LOAD = re.compile(r"(?=.?[0-9])[0-9]{0,20}(\.[0-9]{0,20})?")
 DRAINING_HEADER = b"plantainshed-draining"
 IDLE_FOR_EACH_SLOT = 2
 
@@ -60,7 +73,10 @@
         self.vm_count: Callable[[], int] = lambda: 1
 
     async def run(self, call: Call, state: TargetState):
-        """Run one attempt, or raise `AttemptFailed`."""
+        """Run one attempt, or raise `AttemptFailed`.
+
+        A request that no target can be sent raises `Refusal`.
+        """
         connection = await self._connection(state)
         reusable = False
         try:
@@ -116,6 +132,9 @@
                 await self._answer(call, state, connection, head)
             else:
                 await self._stream_both_ways(call, state, connection)
+        except UnsendableRequest as error:
+            # The caller's fault, not the target's: it blames and tries no other.
+            raise Refusal(Reason.BAD_REQUEST, error.reason) from error
         except ConnectionBroken as error:
             raise AttemptFailed(
                 f"target {state.target.name} broke off: {error}",
@@ -211,12 +230,20 @@
     return kept
 
 
-def _learn_from_answer(state: TargetState, head):
+def reported_load(head: ResponseHead) -> float | None:
+    """Return the load that a target reports; None if it reports no number."""
+    text = head.header(LOAD_HEADER)
+    if text is None or not LOAD.fullmatch(text):
+        return None
+    return float(text)
+
+
+def _learn_from_answer(state: TargetState, head: ResponseHead):
     if head.header(DRAINING_HEADER):
         state.draining_at = trio.current_time()
-    load = head.header(LOAD_HEADER)
-    if load is None or not load.replace(".", "", 1).isdigit():
+    load = reported_load(head)
+    if load is None:
         return
     healthy = state.probe.healthy if state.probe else True
-    state.probe = ProbeNews(healthy, state.is_leaving, float(load))
+    state.probe = ProbeNews(healthy, state.is_leaving, load)
     state.probe_at = trio.current_time()
