Test that tokens which the ledger moved are found at once; it fails

Beside load the demo refuses a few requests with reason `rate` just after the ledger moved parts. Up to 0.25 s before, these had said 0.0 to 0.2: their tokens were under way with the new ledger version. The test plays that order on the mock clock and fails at the second request, each time.

--- a/tests/coordination/test_lending.py
+++ b/tests/coordination/test_lending.py
@@ -4,13 +4,17 @@
 
 import trio
 
-from plantainshed_coordination.budgets import BudgetKind, BudgetSpec
-from plantainshed_coordination.lending import LATE_ROUNDS, MAX_ROUNDS
+from plantainshed_coordination.budgets import RATE_UNITS, BudgetKind, BudgetSpec
+from plantainshed_coordination.ledger import shard_of
+from plantainshed_coordination.lending import LATE_ROUNDS, LEFT_FRESH_S, MAX_ROUNDS
+from plantainshed_coordination.peer_pb2 import LowerParts, Part, SetParts
+from plantainshed_coordination.rebalancer import PERIOD_S
 from tests.support import PartsFleet, on_mock_clock
 
 # So slow a rate that within a test only a loan brings another token.
 SLOW = BudgetSpec("workspace/comune", BudgetKind.RATE, rate=0.2, burst=8.0)
 TWO_VMS = (("a-1", "a"), ("b-1", "b"))
+THREE_VMS = (*TWO_VMS, ("c-1", "c"))
 SETTLE_S = 8.0
 
 
@@ -77,3 +81,47 @@
             lending.rounds = 0
             self.assertFalse(await lending.take(SLOW.name))
             self.assertLessEqual(lending.rounds, LATE_ROUNDS)
+
+
+class TestMovedParts(unittest.TestCase):
+    def spend_all(self, vm):
+        """Use up a VM's own tokens, to the last fraction."""
+        vm.part.refill()
+        vm.part.try_take(vm.part.available())
+
+    def lower(self, vm, version, units) -> Part:
+        """Have a VM give up all but so many units; return what it gave up."""
+        before = vm.part.units
+        message = LowerParts(shard=shard_of(SLOW), for_version=version, mark="test")
+        message.parts.append(Part(budget=SLOW.name, units=units))
+        kept = vm.holdings.lower(message).parts[0]
+        return Part(budget=SLOW.name, units=before - kept.units, level=kept.level)
+
+    def add(self, vm, version, moved: Part):
+        """Give a VM what another one gave up."""
+        moved.units += vm.part.units
+        message = SetParts(shard=shard_of(SLOW), version=version, parts=[moved])
+        vm.holdings.apply(message)
+
+    @on_mock_clock
+    async def test_tokens_that_the_ledger_moved_are_found_at_once(self):
+        """A workspace far below its rate is refused with reason `rate`.
+
+        One VM lowers its part; before the tokens that it gave up reach another,
+        a third borrows and hears that nobody has any left. They arrive, and the
+        next request is refused unasked, as what was heard is still remembered.
+        """
+        fleet = PartsFleet(THREE_VMS, specs=[SLOW])
+        async with fleet.running() as vms:
+            # Between two writes of the real ledger.
+            await trio.sleep(SETTLE_S + PERIOD_S / 2)
+            asker, taker, giver = (vms[vm] for vm in ("a-1", "b-1", "c-1"))
+            version = giver.holdings.known_version[shard_of(SLOW)] + 1
+            moved = self.lower(giver, version, round(RATE_UNITS / SLOW.burst))
+            self.spend_all(asker)
+            self.spend_all(taker)
+            self.assertTrue(await asker.lending.take(SLOW.name))
+            self.add(taker, version, moved)
+            self.assertGreaterEqual(taker.part.level, 1.0)
+            await trio.sleep(LEFT_FRESH_S / 5)
+            self.assertTrue(await asker.lending.take(SLOW.name))
