Ask afresh before refusing for the rate; give back loans that make no whole token

Cause: what a VM said that it had left was believed for 0.5 s, also as a proof that nobody has any. Tokens under way with a new ledger version are with nobody for a moment; whoever asked then refused unasked for up to 0.5 s, beside full buckets. Such words now only tell whom to borrow from. Before a round plans a refusal it asks those VMs again whose word is older than the round; silent ones stay out.

So a borrower that gets no whole token gives unused loans back, removing them before it says so; the lender takes back only what it still holds room for, once.

The traces show a second cause, which stays: requests that come later take a loan's tokens.

--- a/packages/coordination/plantainshed_coordination/budgets.py
+++ b/packages/coordination/plantainshed_coordination/budgets.py
@@ -8,7 +8,8 @@
 - A part falls by its holder's own act, and rises only after the matching fall
   was acknowledged and written to the ledger (`rebalancer`).
 - A loan leaves the lender before it is sent. A borrowed token that does not
-  arrive in time is lost, never doubled.
+  arrive in time is lost, never doubled; one that is given back leaves the
+  borrower before it is sent.
 - A raised part gets no more tokens than the lowered ones gave up, or moving
   parts would mint a burst.
 """
@@ -85,10 +86,25 @@
 
 @define
 class Loan:
-    """Tokens on their way to, or in use at, a borrower."""
+    """Tokens on their way to, or in use at, a borrower.
+
+    Parameters
+    ----------
+    amount : float
+    until : float
+    grant : str
+        Name of the loan; without one it cannot be given back.
+    lender : str
+        VM that lent it.
+    is_begun : bool
+        Whether any of it was used.
+    """
 
     amount: float
     until: float
+    grant: str = ""
+    lender: str = ""
+    is_begun: bool = False
 
 
 @frozen
--- a/packages/coordination/plantainshed_coordination/holdings.py
+++ b/packages/coordination/plantainshed_coordination/holdings.py
@@ -220,7 +220,7 @@
             return LoanGrant()
         part = self.parts.get(message.budget)
         if isinstance(part, RatePart):
-            amount = part.lend(message.amount)
+            amount = part.lend(message.amount, message.grant)
             return LoanGrant(amount=amount, left=part.level)
         return self._lend_from_group(sender, message)
 
@@ -242,7 +242,7 @@
         if not message.budget:
             parts = list(self.parts.values())
         for part in parts:
-            if isinstance(part, CountPart):
+            if part is not None:
                 part.take_back(message.grant)
         return Ack()
 
--- a/packages/coordination/plantainshed_coordination/lending.py
+++ b/packages/coordination/plantainshed_coordination/lending.py
@@ -12,6 +12,7 @@
 
 from .budgets import (
     ROUNDING,
+    WHOLE_TOKEN,
 )
 from .digests import rendezvous_order
 from .errors import PeerError
@@ -63,10 +64,19 @@
 
 @frozen
 class HeardLeft:
-    """What a lender said that it had left, and when."""
+    """What a lender said that it had left, and when.
+
+    Parameters
+    ----------
+    amount : float
+    at : float
+    is_silence : bool
+        Whether it said nothing, so that it is not worth asking for a while.
+    """
 
     amount: float
     at: float
+    is_silence: bool = False
 
 
 @define
@@ -75,12 +85,14 @@
 
     Attributes
     ----------
+    began_at : float
     ended : trio.Event
     is_late : bool
         Whether an answer came too late to be used, or never. The round then
         does not show that nobody has any tokens.
     """
 
+    began_at: float = field(factory=trio.current_time)
     ended: trio.Event = field(factory=trio.Event)
     is_late: bool = False
 
@@ -196,6 +208,7 @@
             return
         if own.is_late:
             return
+        await self._give_back_tokens(name, part)
         # Nobody has any. Asking again for each request of a workspace far
         # above its rate would flood the peers and find nothing, so the pause
         # doubles until something was found.
@@ -203,6 +216,17 @@
         length = min(DRY_MAX_S, last.length_s * 2) if last else DRY_MIN_S
         self._dry[name] = DrySpell(length, trio.current_time() + length)
 
+    async def _give_back_tokens(self, name: str, part: RatePart):
+        """Return loans that make no whole token, or they would be lost.
+
+        Several VMs that lack tokens at a time each get a fraction of the last.
+        """
+        if part.seconds_until() <= MAX_REFILL_WAIT_S:
+            return
+        for loan in part.give_up_loans():
+            message = LoanReturn(budget=name, grant=loan.grant)
+            await self.network.send(loan.lender, "loan_return", message)
+
     async def _learn_what_is_left(self, name: str, missing: float, own: Round):
         """Ask some VMs what they have left, unless enough is known of.
 
@@ -212,17 +236,38 @@
         known = self._known_left(name)
         if max(known.values(), default=0.0) >= missing:
             return
-        unknown = [vm for vm in self._others() if vm not in known]
-        order = rendezvous_order(f"{name}/{self.rounds}", unknown)
-        order.sort(key=self._is_near, reverse=True)
+        worth_asking = [vm for vm in self._others() if vm not in known]
+        if not self._is_enough(known, missing):
+            worth_asking += self._may_have_more(name, known, own)
+        order = rendezvous_order(f"{name}/{self.rounds}", worth_asking)
+        order.sort(key=lambda vm: (vm in known, not self._is_near(vm)))
         async with trio.open_nursery() as nursery:
             for vm in order[:ASKED_AT_ONCE]:
                 nursery.start_soon(self._ask, vm, name, 0.0, own)
 
+    def _may_have_more(
+        self, name: str, known: dict[str, float], own: Round
+    ) -> list[str]:
+        """Return VMs whose word is older than the round.
+
+        It tells whom to borrow from, but not that nobody has any: what a VM
+        lacked then, refills or a moved part may have brought it since.
+        """
+        heard = {vm: self._last_left[name, vm] for vm in known}
+        return [
+            vm
+            for vm, left in heard.items()
+            if left.at < own.began_at and not left.is_silence
+        ]
+
+    def _is_enough(self, known: dict[str, float], missing: float) -> bool:
+        """Tell whether known tokens would serve a request."""
+        return sum(known.values()) + ROUNDING >= min(missing, WHOLE_TOKEN)
+
     def _plan_loans(self, name: str, missing: float, ahead: float) -> dict[str, float]:
         """Return how much to borrow from whom; nothing if it would not do."""
         known = self._known_left(name)
-        if sum(known.values()) + ROUNDING < min(missing, 1.0):
+        if not self._is_enough(known, missing):
             return {}
         wanted = missing + ahead
         plan = {}
@@ -260,13 +305,20 @@
 
     async def _borrow_tokens(self, vm: str, name: str, amount: float, own: Round):
         asked_at = trio.current_time()
-        lent = await self._ask(vm, name, amount, own)
-        if lent and not self.holdings.rate(name).receive_loan(lent, asked_at):
+        grant = self._next_grant()
+        lent = await self._ask(vm, name, amount, own, grant)
+        part = self.holdings.rate(name)
+        if lent and not part.receive_loan(lent, asked_at, grant, vm):
             own.is_late = True
 
-    async def _ask(self, vm: str, name: str, amount: float, own: Round) -> float:
+    def _next_grant(self) -> str:
+        return f"{self.membership.identity.holder}/{next(self._grant_numbers)}"
+
+    async def _ask(
+        self, vm: str, name: str, amount: float, own: Round, grant: str = ""
+    ) -> float:
         """Ask a VM for tokens; return what it lent, 0 if it did not answer."""
-        request = LoanRequest(budget=name, amount=amount)
+        request = LoanRequest(budget=name, amount=amount, grant=grant)
         try:
             grant = await self.network.ask(vm, "loan_request", request, LOAN_TIMEOUT_S)
         except PeerError:
@@ -283,7 +335,7 @@
             self._last_left.pop((name, vm), None)
             own.is_late = True
         else:
-            self._last_left[name, vm] = HeardLeft(0.0, now)
+            self._last_left[name, vm] = HeardLeft(0.0, now, is_silence=True)
 
     # One of a count.
 
@@ -294,9 +346,8 @@
 
         With ``alone``, one that no other loan of this kind is using.
         """
-        identity = self.membership.identity
         for vm in lenders:
-            grant_name = f"{identity.holder}/{next(self._grant_numbers)}"
+            grant_name = self._next_grant()
             request = LoanRequest(budget=group, amount=1, grant=grant_name, alone=alone)
             member = self.membership.table.members.get(vm)
             if member is None:
--- a/packages/coordination/plantainshed_coordination/rate_part.py
+++ b/packages/coordination/plantainshed_coordination/rate_part.py
@@ -74,6 +74,7 @@
         for loan in self._borrowed:
             used = min(left, loan.amount)
             loan.amount -= used
+            loan.is_begun |= used > 0
             left -= used
         self.level = max(0.0, self.level - left)
         return True
@@ -86,7 +87,7 @@
         ]
         return self.level + sum(loan.amount for loan in self._borrowed)
 
-    def lend(self, amount: float) -> float:
+    def lend(self, amount: float, grant: str = "") -> float:
         """Give away up to so many tokens; return how many.
 
         The bucket stays smaller by as much until the borrower cannot use them
@@ -97,10 +98,25 @@
         given = min(amount, self.level)
         if given > 0:
             self.level -= given
-            self._lent.append(Loan(given, trio.current_time() + LOAN_HELD_S))
+            until = trio.current_time() + LOAN_HELD_S
+            self._lent.append(Loan(given, until, grant))
         return given
 
-    def receive_loan(self, amount: float, asked_at: float) -> bool:
+    def take_back(self, grant: str):
+        """Have a loan's tokens again, of which the borrower used none.
+
+        One that is over already has made room for a refill, and counts no more.
+        """
+        self.refill()
+        for loan in self._lent:
+            if grant and loan.grant == grant:
+                self._lent.remove(loan)
+                self.level = min(self.capacity, self.level + loan.amount)
+                return
+
+    def receive_loan(
+        self, amount: float, asked_at: float, grant: str = "", lender: str = ""
+    ) -> bool:
         """Take in borrowed tokens; tell whether any of them can still be used.
 
         They are usable for a short while only, which begins before they were
@@ -110,9 +126,15 @@
         until = asked_at + LOAN_USABLE_S
         if amount <= 0 or until <= trio.current_time():
             return False
-        self._borrowed.append(Loan(amount, until))
+        self._borrowed.append(Loan(amount, until, grant, lender))
         return True
 
+    def give_up_loans(self) -> list[Loan]:
+        """Give up borrowed tokens; return the loans of which none were used."""
+        unused = [loan for loan in self._borrowed if not loan.is_begun]
+        self._borrowed = [loan for loan in self._borrowed if loan.is_begun]
+        return unused
+
     def seconds_until(self, amount: float = WHOLE_TOKEN) -> float:
         """Return how long this part alone needs to have so many tokens."""
         self.refill()
--- a/tests/coordination/test_lending.py
+++ b/tests/coordination/test_lending.py
@@ -4,11 +4,23 @@
 
 import trio
 
-from plantainshed_coordination.budgets import RATE_UNITS, BudgetKind, BudgetSpec
+from plantainshed_coordination.budgets import (
+    LOAN_HELD_S,
+    RATE_UNITS,
+    BudgetKind,
+    BudgetSpec,
+)
 from plantainshed_coordination.ledger import shard_of
-from plantainshed_coordination.lending import LATE_ROUNDS, LEFT_FRESH_S, MAX_ROUNDS
+from plantainshed_coordination.lending import (
+    DRY_MAX_S,
+    LATE_ROUNDS,
+    LEFT_FRESH_S,
+    MAX_ROUNDS,
+)
 from plantainshed_coordination.peer_pb2 import LowerParts, Part, SetParts
+from plantainshed_coordination.rate_part import RatePart
 from plantainshed_coordination.rebalancer import PERIOD_S
+from plantainshed_standins.memory_network import DEFAULT_DELAY_S
 from tests.support import PartsFleet, on_mock_clock
 
 # So slow a rate that within a test only a loan brings another token.
@@ -125,3 +137,79 @@
             self.assertGreaterEqual(taker.part.level, 1.0)
             await trio.sleep(LEFT_FRESH_S / 5)
             self.assertTrue(await asker.lending.take(SLOW.name))
+
+
+class TestUnusedLoans(unittest.TestCase):
+    def keep_only(self, vm, amount):
+        """Use up a VM's own tokens but for an amount."""
+        vm.part.refill()
+        vm.part.try_take(vm.part.available() - amount)
+
+    @on_mock_clock
+    async def test_loan_that_makes_no_whole_token_is_given_back(self):
+        """A workspace above its rate is served less than its rate.
+
+        One VM hears of two halves and borrows both, but another request takes
+        one of them first. The half that it got was lost to everybody.
+        """
+        fleet = PartsFleet(THREE_VMS, specs=[SLOW])
+        async with fleet.running() as vms:
+            await trio.sleep(SETTLE_S + PERIOD_S / 2)
+            for vm, amount in (("a-1", 0.0), ("b-1", 0.5), ("c-1", 0.55)):
+                self.keep_only(vms[vm], amount)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(vms["a-1"].lending.take, SLOW.name)
+                # After both have said what they have left, before they lend it.
+                await trio.sleep(2.5 * DEFAULT_DELAY_S)
+                self.keep_only(vms["b-1"], 0.0)
+            await trio.sleep(2 * DEFAULT_DELAY_S)
+            self.assertGreaterEqual(vms["c-1"].part.level, 0.55)
+            self.assertLess(vms["a-1"].part.available(), 0.1)
+            # Each was asked what it has left, and for a loan; not once more.
+            self.assertEqual(vms["a-1"].network.sent["loan_request"], 4)
+
+    @on_mock_clock
+    async def test_loan_is_taken_back_once(self):
+        """A workspace gets more than its rate: a repeated return counts twice."""
+        part = RatePart(SLOW)
+        part.set_units(RATE_UNITS, SLOW.burst)
+        part.lend(3.0, "loan")
+        part.take_back("loan")
+        part.take_back("loan")
+        self.assertAlmostEqual(part.level, SLOW.burst)
+        self.assertAlmostEqual(part.capacity, SLOW.burst)
+
+    @on_mock_clock
+    async def test_loan_that_is_over_is_not_taken_back(self):
+        """A workspace gets more than its rate: a late return joins its refill."""
+        part = RatePart(SLOW)
+        part.set_units(RATE_UNITS, SLOW.burst)
+        part.lend(3.0, "loan")
+        await trio.sleep(LOAN_HELD_S)
+        part.take_back("loan")
+        self.assertLessEqual(part.level, SLOW.burst - 3.0 + SLOW.rate * LOAN_HELD_S)
+
+    @on_mock_clock
+    async def test_begun_loan_is_not_given_back(self):
+        """A workspace gets more than its rate: a used token returns to its lender."""
+        part = RatePart(SLOW)
+        part.receive_loan(1.5, trio.current_time(), "begun", "b-1")
+        part.receive_loan(0.5, trio.current_time(), "unused", "b-1")
+        self.assertTrue(part.try_take())
+        self.assertEqual([loan.grant for loan in part.give_up_loans()], ["unused"])
+        self.assertAlmostEqual(part.available(), 0.5)
+
+    @on_mock_clock
+    async def test_silent_lender_is_not_asked_by_each_request(self):
+        """Requests wait for a VM that has been cut off, one after another."""
+        fleet = PartsFleet(TWO_VMS, specs=[SLOW])
+        async with fleet.running() as vms:
+            await trio.sleep(SETTLE_S)
+            self.keep_only(vms["a-1"], 0.0)
+            fleet.cut(["a-1"], ["b-1"])
+            lending = vms["a-1"].lending
+            self.assertFalse(await lending.take(SLOW.name))
+            asked = lending.network.sent["loan_request"]
+            await trio.sleep(DRY_MAX_S)
+            self.assertFalse(await lending.take(SLOW.name))
+            self.assertEqual(lending.network.sent["loan_request"], asked)
