Test that later requests leave what an earlier one borrowed; it fails

Beside load the demo refuses requests with reason `rate` beside full lenders, also with their words asked afresh. The test plays that on the mock clock.

--- a/tests/coordination/test_lending.py
+++ b/tests/coordination/test_lending.py
@@ -3,6 +3,7 @@
 import unittest
 
 import trio
+from attrs import evolve
 
 from plantainshed_coordination.budgets import (
     LOAN_HELD_S,
@@ -28,6 +29,8 @@
 TWO_VMS = (("a-1", "a"), ("b-1", "b"))
 THREE_VMS = (*TWO_VMS, ("c-1", "c"))
 SETTLE_S = 8.0
+REQUESTS = 20
+REQUESTS_AT_ONCE = 4
 
 
 class TestLateLoans(unittest.TestCase):
@@ -213,3 +216,38 @@
             await trio.sleep(DRY_MAX_S)
             self.assertFalse(await lending.take(SLOW.name))
             self.assertEqual(lending.network.sent["loan_request"], asked)
+
+
+class TestOrderOfWaiting(unittest.TestCase):
+    @on_mock_clock
+    async def test_later_requests_do_not_take_what_an_earlier_one_borrowed(self):
+        """A workspace far below its rate is refused with reason `rate`.
+
+        A request borrows; as the loan comes, others come too and use it up, and
+        the next loan likewise. The round ends with nothing at hand and takes that
+        for nobody having any, though the lender has plenty.
+        """
+        plenty = evolve(SLOW, burst=200.0)
+        fleet = PartsFleet(TWO_VMS, specs=[plenty])
+        async with fleet.running() as vms:
+            await trio.sleep(SETTLE_S + PERIOD_S / 2)
+            asker = vms["a-1"]
+            receive = asker.part.receive_loan
+            answers = []
+
+            async def request():
+                answers.append(await asker.lending.take(plenty.name))
+
+            def receive_and_be_asked(*loan):
+                if len(answers) < REQUESTS:
+                    for _ in range(REQUESTS_AT_ONCE):
+                        nursery.start_soon(request)
+                return receive(*loan)
+
+            asker.part.receive_loan = receive_and_be_asked
+            asker.part.try_take(asker.part.available())
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(request)
+            self.assertGreater(vms["b-1"].part.level, REQUESTS)
+            self.assertTrue(all(answers), answers)
+            self.assertGreaterEqual(len(answers), REQUESTS)
