Hand tokens to requests in the order they came

Cause: a request that borrowed got its token only when its round was over. Whoever came meanwhile took it first; the round then ended with nothing at hand, was taken for nobody having any, and began a pause, beside lenders with 8.98 and 9.00 tokens. Loans also ran out while another lender's answer was waited for. Tokens now go to waiting requests as a loan arrives, in the order they came; a later request takes only what they leave. A round that served anybody begins no pause.

Ruled out: an empty fleet and late loans (in the traces each answer came in time). A lost token if a request is cancelled in the instant it is served: accepted, as it only lowers what is used.

Without either half of the rule, on a scratch copy, one of the two fails.

--- a/packages/coordination/plantainshed_coordination/lending.py
+++ b/packages/coordination/plantainshed_coordination/lending.py
@@ -90,11 +90,21 @@
     is_late : bool
         Whether an answer came too late to be used, or never. The round then
         does not show that nobody has any tokens.
+    has_served : bool
+        Whether a request got a token.
     """
 
     began_at: float = field(factory=trio.current_time)
     ended: trio.Event = field(factory=trio.Event)
     is_late: bool = False
+    has_served: bool = False
+
+
+@define(eq=False)
+class Waiter:
+    """A request that waits for a token."""
+
+    is_served: bool = False
 
 
 @frozen
@@ -122,7 +132,7 @@
         self.holdings = holdings
         self.rounds = 0
         self._running: dict[str, Round] = {}
-        self._waiting: dict[str, int] = {}
+        self._waiting: dict[str, list[Waiter]] = {}
         self._dry: dict[str, DrySpell] = {}
         self._last_left: dict[tuple[str, str], HeardLeft] = {}
         self._failed_at: dict[str, float] = {}
@@ -146,30 +156,42 @@
         """
         part = self.holdings.rate(name)
         part.demand.add(1)
-        if part.try_take():
+        waiting = self._waiting.setdefault(name, [])
+        # What the earlier ones wait for is theirs. Taken by whoever comes next,
+        # it would be borrowed in vain, and a round would seem to find nothing.
+        if part.try_take(leaving=len(waiting)):
             return True
-        self._waiting[name] = self._waiting.get(name, 0) + 1
+        waiter = Waiter()
+        waiting.append(waiter)
         try:
             for number in range(1, LATE_ROUNDS + 1):
                 if self._is_dry(name):
                     break
                 last = await self._one_round(name, part)
-                if part.try_take():
+                if waiter.is_served:
                     return True
                 # Refusing on a late loan would turn away a workspace that is
                 # far below its rate, whenever a peer is busy for a moment.
                 if number >= MAX_ROUNDS and not last.is_late:
                     break
-            return await self._take_after_refill(part)
+            return await self._take_after_refill(part, waiter)
         finally:
-            self._waiting[name] -= 1
+            if not waiter.is_served:
+                waiting.remove(waiter)
 
-    async def _take_after_refill(self, part: RatePart) -> bool:
+    async def _take_after_refill(self, part: RatePart, waiter: Waiter) -> bool:
         wait_s = part.seconds_until()
         if wait_s > MAX_REFILL_WAIT_S:
             return False
         await trio.sleep(wait_s)
-        return part.try_take()
+        return waiter.is_served or part.try_take()
+
+    def _hand_out(self, name: str, part: RatePart, own: Round):
+        """Give tokens at hand to those who wait, in the order they came."""
+        waiting = self._waiting[name]
+        while waiting and part.try_take():
+            waiting.pop(0).is_served = True
+            own.has_served = True
 
     def _is_dry(self, name: str) -> bool:
         spell = self._dry.get(name)
@@ -192,9 +214,10 @@
         self.rounds += 1
         ahead = part.demand.read() * PREFETCH_S
         for _ in range(TRIES_A_ROUND):
-            missing = self._waiting[name] - part.available()
-            if missing <= 0:
+            self._hand_out(name, part, own)
+            if not self._waiting[name]:
                 break
+            missing = len(self._waiting[name]) - part.available()
             await self._learn_what_is_left(name, missing, own)
             plan = self._plan_loans(name, missing, ahead)
             if not plan:
@@ -202,8 +225,8 @@
             async with trio.open_nursery() as nursery:
                 for vm, amount in plan.items():
                     nursery.start_soon(self._borrow_tokens, vm, name, amount, own)
-            part.refill()
-        if part.available() >= 1:
+        self._hand_out(name, part, own)
+        if own.has_served:
             self._dry.pop(name, None)
             return
         if own.is_late:
@@ -310,6 +333,8 @@
         part = self.holdings.rate(name)
         if lent and not part.receive_loan(lent, asked_at, grant, vm):
             own.is_late = True
+        # At once, as a loan can run out while other lenders are waited for.
+        self._hand_out(name, part, own)
 
     def _next_grant(self) -> str:
         return f"{self.membership.identity.holder}/{next(self._grant_numbers)}"
--- a/packages/coordination/plantainshed_coordination/rate_part.py
+++ b/packages/coordination/plantainshed_coordination/rate_part.py
@@ -65,10 +65,10 @@
         self.level = min(self.capacity, grown)
         self.updated_at = now
 
-    def try_take(self, amount: float = WHOLE_TOKEN) -> bool:
-        """Take tokens if there are enough, borrowed ones first."""
+    def try_take(self, amount: float = WHOLE_TOKEN, leaving: float = 0.0) -> bool:
+        """Take tokens if so many are left then, borrowed ones first."""
         self.refill()
-        if self.available() + ROUNDING < amount:
+        if self.available() + ROUNDING < amount + leaving:
             return False
         left = amount
         for loan in self._borrowed:
--- a/tests/coordination/test_lending.py
+++ b/tests/coordination/test_lending.py
@@ -251,3 +251,56 @@
             self.assertGreater(vms["b-1"].part.level, REQUESTS)
             self.assertTrue(all(answers), answers)
             self.assertGreaterEqual(len(answers), REQUESTS)
+
+    def keep_only(self, vm, amount):
+        """Use up a VM's own tokens but for an amount."""
+        vm.part.refill()
+        vm.part.try_take(vm.part.available() - amount)
+
+    @on_mock_clock
+    async def test_later_request_leaves_a_new_token_to_the_one_that_waits(self):
+        """A request that waited for a token is refused, one that came later not.
+
+        The waiting one's VM gets a token while it asks others in vain.
+        """
+        fleet = PartsFleet(TWO_VMS, specs=[SLOW])
+        async with fleet.running() as vms:
+            await trio.sleep(SETTLE_S + PERIOD_S / 2)
+            for vm in vms.values():
+                self.keep_only(vm, 0.0)
+            asker = vms["a-1"]
+            answers = {}
+
+            async def request(number):
+                answers[number] = await asker.lending.take(SLOW.name)
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(request, 1)
+                await trio.sleep(DEFAULT_DELAY_S / 2)
+                asker.part.set_units(asker.part.units, 1.0)
+                nursery.start_soon(request, 2)
+            self.assertEqual(answers, {1: True, 2: False})
+
+    @on_mock_clock
+    async def test_loan_is_used_though_another_lender_falls_silent(self):
+        """Two of three requests are refused, though a lender had two tokens.
+
+        Another lender's answer was waited for until the second had run out.
+        """
+        fleet = PartsFleet(THREE_VMS, specs=[SLOW])
+        async with fleet.running() as vms:
+            await trio.sleep(SETTLE_S + PERIOD_S / 2)
+            for vm, amount in (("a-1", 0.0), ("b-1", 2.2), ("c-1", 1.0)):
+                self.keep_only(vms[vm], amount)
+            answers = []
+
+            async def request():
+                answers.append(await vms["a-1"].lending.take(SLOW.name))
+
+            async with trio.open_nursery() as nursery:
+                for _ in range(3):
+                    nursery.start_soon(request)
+                # After the first loan, while both are asked for the next.
+                await trio.sleep(4.5 * DEFAULT_DELAY_S)
+                fleet.cut(["a-1", "b-1"], ["c-1"])
+            self.assertEqual(sorted(answers), [False, True, True])
