--- a/packages/coordination/plantainshed_coordination/lending.py
+++ b/packages/coordination/plantainshed_coordination/lending.py
@@ -12,6 +12,7 @@
 
 from .budgets import (
     ROUNDING,
+    WHOLE_TOKEN,
 )
 from .digests import rendezvous_order
 from .errors import PeerError
@@ -63,10 +64,19 @@
 
 @frozen
 class HeardLeft:
-    """What a lender said that it had left, and when."""
+    """What a lender said that it had left, and when.
+
+    Parameters
+    ----------
+    amount : float
+    at : float
+    is_silence : bool
+        Whether it said nothing, so that it is not worth asking for a while.
+    """
 
     amount: float
     at: float
+    is_silence: bool = False
 
 
 @define
@@ -75,14 +85,26 @@
 
     Attributes
     ----------
+    began_at : float
     ended : trio.Event
     is_late : bool
         Whether an answer came too late to be used, or never. The round then
         does not show that nobody has any tokens.
+    has_served : bool
+        Whether a request got a token.
     """
 
+    began_at: float = field(factory=trio.current_time)
     ended: trio.Event = field(factory=trio.Event)
     is_late: bool = False
+    has_served: bool = False
+
+
+@define(eq=False)
+class Waiter:
+    """A request that waits for a token."""
+
+    is_served: bool = False
 
 
 @frozen
@@ -110,7 +132,7 @@
         self.holdings = holdings
         self.rounds = 0
         self._running: dict[str, Round] = {}
-        self._waiting: dict[str, int] = {}
+        self._waiting: dict[str, list[Waiter]] = {}
         self._dry: dict[str, DrySpell] = {}
         self._last_left: dict[tuple[str, str], HeardLeft] = {}
         self._failed_at: dict[str, float] = {}
@@ -137,9 +159,13 @@
         if part is None:
             return False
         part.demand.add(1)
-        if part.try_take():
+        waiting = self._waiting.setdefault(name, [])
+        # What the earlier ones wait for is theirs. Taken by whoever comes next,
+        # it would be borrowed in vain, and a round would seem to find nothing.
+        if part.try_take(leaving=len(waiting)):
             return True
-        self._waiting[name] = self._waiting.get(name, 0) + 1
+        waiter = Waiter()
+        waiting.append(waiter)
         try:
             for number in range(1, LATE_ROUNDS + 1):
                 if self._is_dry(name):
@@ -147,22 +173,34 @@
                 last = await self._one_round(name, part)
                 if not self.holdings.is_in_force(part):
                     return False
-                if part.try_take():
+                if waiter.is_served:
                     return True
                 # Refusing on a late loan would turn away a workspace that is
                 # far below its rate, whenever a peer is busy for a moment.
                 if number >= MAX_ROUNDS and not last.is_late:
                     break
-            return await self._take_after_refill(part)
+            return await self._take_after_refill(part, waiter)
         finally:
-            self._waiting[name] -= 1
+            if not waiter.is_served:
+                waiting.remove(waiter)
 
-    async def _take_after_refill(self, part: RatePart) -> bool:
+    async def _take_after_refill(self, part: RatePart, waiter: Waiter) -> bool:
         wait_s = part.seconds_until()
         if wait_s > MAX_REFILL_WAIT_S:
             return False
         await trio.sleep(wait_s)
-        return self.holdings.is_in_force(part) and part.try_take()
+        if not self.holdings.is_in_force(part):
+            return False
+        return waiter.is_served or part.try_take()
+
+    def _hand_out(self, name: str, part: RatePart, own: Round):
+        """Give tokens at hand to those who wait, in the order they came."""
+        if not self.holdings.is_in_force(part):
+            return
+        waiting = self._waiting[name]
+        while waiting and part.try_take():
+            waiting.pop(0).is_served = True
+            own.has_served = True
 
     def _is_dry(self, name: str) -> bool:
         spell = self._dry.get(name)
@@ -185,9 +223,10 @@
         self.rounds += 1
         ahead = part.demand.read() * PREFETCH_S
         for _ in range(TRIES_A_ROUND):
-            missing = self._waiting[name] - part.available()
-            if missing <= 0 or not self.holdings.is_in_force(part):
+            self._hand_out(name, part, own)
+            if not self._waiting[name] or not self.holdings.is_in_force(part):
                 break
+            missing = len(self._waiting[name]) - part.available()
             await self._learn_what_is_left(name, missing, own)
             plan = self._plan_loans(name, missing, ahead)
             if not plan:
@@ -195,12 +234,13 @@
             async with trio.open_nursery() as nursery:
                 for vm, amount in plan.items():
                     nursery.start_soon(self._borrow_tokens, vm, part, amount, own)
-            part.refill()
-        if part.available() >= 1:
+        self._hand_out(name, part, own)
+        if own.has_served:
             self._dry.pop(name, None)
             return
         if own.is_late:
             return
+        await self._give_back_tokens(name, part)
         # Nobody has any. Asking again for each request of a workspace far
         # above its rate would flood the peers and find nothing, so the pause
         # doubles until something was found.
@@ -208,6 +248,17 @@
         length = min(DRY_MAX_S, last.length_s * 2) if last else DRY_MIN_S
         self._dry[name] = DrySpell(length, trio.current_time() + length)
 
+    async def _give_back_tokens(self, name: str, part: RatePart):
+        """Return loans that make no whole token, or they would be lost.
+
+        Several VMs that lack tokens at a time each get a fraction of the last.
+        """
+        if part.seconds_until() <= MAX_REFILL_WAIT_S:
+            return
+        for loan in part.give_up_loans():
+            message = LoanReturn(budget=name, grant=loan.grant)
+            await self.network.send(loan.lender, "loan_return", message)
+
     async def _learn_what_is_left(self, name: str, missing: float, own: Round):
         """Ask some VMs what they have left, unless enough is known of.
 
@@ -217,17 +268,38 @@
         known = self._known_left(name)
         if max(known.values(), default=0.0) >= missing:
             return
-        unknown = [vm for vm in self._others() if vm not in known]
-        order = rendezvous_order(f"{name}/{self.rounds}", unknown)
-        order.sort(key=self._is_near, reverse=True)
+        worth_asking = [vm for vm in self._others() if vm not in known]
+        if not self._is_enough(known, missing):
+            worth_asking += self._may_have_more(name, known, own)
+        order = rendezvous_order(f"{name}/{self.rounds}", worth_asking)
+        order.sort(key=lambda vm: (vm in known, not self._is_near(vm)))
         async with trio.open_nursery() as nursery:
             for vm in order[:ASKED_AT_ONCE]:
                 nursery.start_soon(self._ask, vm, name, 0.0, own)
 
+    def _may_have_more(
+        self, name: str, known: dict[str, float], own: Round
+    ) -> list[str]:
+        """Return VMs whose word is older than the round.
+
+        It tells whom to borrow from, but not that nobody has any: what a VM
+        lacked then, refills or a moved part may have brought it since.
+        """
+        heard = {vm: self._last_left[name, vm] for vm in known}
+        return [
+            vm
+            for vm, left in heard.items()
+            if left.at < own.began_at and not left.is_silence
+        ]
+
+    def _is_enough(self, known: dict[str, float], missing: float) -> bool:
+        """Tell whether known tokens would serve a request."""
+        return sum(known.values()) + ROUNDING >= min(missing, WHOLE_TOKEN)
+
     def _plan_loans(self, name: str, missing: float, ahead: float) -> dict[str, float]:
         """Return how much to borrow from whom; nothing if it would not do."""
         known = self._known_left(name)
-        if sum(known.values()) + ROUNDING < min(missing, 1.0):
+        if not self._is_enough(known, missing):
             return {}
         wanted = missing + ahead
         plan = {}
@@ -265,17 +337,25 @@
 
     async def _borrow_tokens(self, vm: str, part: RatePart, amount: float, own: Round):
         asked_at = trio.current_time()
-        lent = await self._ask(vm, part.spec.name, amount, own)
+        grant = self._next_grant()
+        lent = await self._ask(vm, part.spec.name, amount, own, grant)
         if not self.holdings.is_in_force(part):
             # An error here would end the process. What was lent for a budget
             # that has gone lapses, as a loan does whose answer was lost.
             return
-        if lent and not part.receive_loan(lent, asked_at):
+        if lent and not part.receive_loan(lent, asked_at, grant, vm):
             own.is_late = True
+        # At once, as a loan can run out while other lenders are waited for.
+        self._hand_out(part.spec.name, part, own)
+
+    def _next_grant(self) -> str:
+        return f"{self.membership.identity.holder}/{next(self._grant_numbers)}"
 
-    async def _ask(self, vm: str, name: str, amount: float, own: Round) -> float:
+    async def _ask(
+        self, vm: str, name: str, amount: float, own: Round, grant: str = ""
+    ) -> float:
         """Ask a VM for tokens; return what it lent, 0 if it did not answer."""
-        request = LoanRequest(budget=name, amount=amount)
+        request = LoanRequest(budget=name, amount=amount, grant=grant)
         try:
             grant = await self.network.ask(vm, "loan_request", request, LOAN_TIMEOUT_S)
         except PeerError:
@@ -292,7 +372,7 @@
             self._last_left.pop((name, vm), None)
             own.is_late = True
         else:
-            self._last_left[name, vm] = HeardLeft(0.0, now)
+            self._last_left[name, vm] = HeardLeft(0.0, now, is_silence=True)
 
     # One of a count.
 
@@ -303,9 +383,8 @@
 
         With ``alone``, one that no other loan of this kind is using.
         """
-        identity = self.membership.identity
         for vm in lenders:
-            grant_name = f"{identity.holder}/{next(self._grant_numbers)}"
+            grant_name = self._next_grant()
             request = LoanRequest(budget=group, amount=1, grant=grant_name, alone=alone)
             member = self.membership.table.members.get(vm)
             if member is None:
--- a/packages/entry/plantainshed_entry/daemon.py
+++ b/packages/entry/plantainshed_entry/daemon.py
@@ -63,7 +63,11 @@
 
 
 async def _serve(node: Node, listeners, stopping: Stopping, closed: trio.Event):
-    await serve_http(Handlers(node).handle, listeners, stopping)
+
+    def report(error: Exception):
+        node.log.error("internal error", exc_info=error)
+
+    await serve_http(Handlers(node).handle, listeners, stopping, report=report)
     closed.set()
 
 
