--- a/tests/platform/test_daemon.py
+++ b/tests/platform/test_daemon.py
@@ -29,6 +29,7 @@
 class Signalling:
     def find_spec(self, name, path=None, target=None):
         if name == sys.argv[1]:
+            print('{"message":"signalled"}', flush=True)
             signal.raise_signal(int(sys.argv[2]))
 
 sys.meta_path.insert(0, Signalling())
@@ -190,19 +191,19 @@
 
     @on_real_clock
     async def test_settings_that_change_cut_no_request(self):
-        async with running_daemon(takes_s=0.6) as daemon:
+        async with running_daemon(takes_s=1.0) as daemon:
             await self.stop_with(daemon, signal.SIGHUP)
             self.assertTrue(await daemon.until_line("reload"))
 
     @on_real_clock
     async def test_request_to_stop_that_is_repeated_cuts_no_request(self):
-        async with running_daemon(takes_s=0.6) as daemon:
+        async with running_daemon(takes_s=1.0) as daemon:
             await self.stop_with(daemon, signal.SIGTERM)
             self.assertTrue(await daemon.until_line("stop requested again"))
 
     @on_real_clock
     async def test_signals_in_series_cut_no_request(self):
-        async with running_daemon(takes_s=0.6) as daemon:
+        async with running_daemon(takes_s=1.0) as daemon:
             hangup, stop = signal.SIGHUP, signal.SIGTERM
             await self.stop_with(daemon, hangup, hangup, stop, hangup, signal.SIGINT)
 
@@ -235,6 +236,8 @@
             for number in further:
                 daemon.process.send_signal(number)
                 await trio.sleep(0.05)
+            # Otherwise the signals met no request.
+            self.assertEqual(daemon.targets[0].running, 1)
         self.assertEqual(answers[0][0], 200)
         await daemon.until_line("stop")
         self.assertEqual(await daemon.process.wait(), 0)
@@ -256,6 +259,7 @@
             program = ("-c", SIGNALLED_AT_IMPORT, module, str(int(signal.SIGHUP)))
             async with running_daemon(program=program) as daemon:
                 self.assertEqual((await daemon.ask())[0], 200)
+                await daemon.until_line("signalled")
 
     @on_real_clock
     async def test_told_to_stop_before_it_serves(self):
@@ -269,11 +273,15 @@
                 env={**os.environ, "PLANTAINSHED_NODE_FILE": str(path)},
                 stdout=subprocess.PIPE,
             )
-            first = await process.stdout.receive_some()
-            self.assertIn(b'"message":"start"', first)
-            process.send_signal(signal.SIGTERM)
-            rest = first + b"".join([data async for data in process.stdout])
-            self.assertEqual(await process.wait(), 0, rest)
+            try:
+                first = await process.stdout.receive_some()
+                self.assertIn(b'"message":"start"', first)
+                process.send_signal(signal.SIGTERM)
+                with trio.fail_after(20):
+                    rest = first + b"".join([data async for data in process.stdout])
+                    self.assertEqual(await process.wait(), 0, rest)
+            finally:
+                process.kill()
         self.assertIn(b'"message":"stop"', rest)
 
 
@@ -312,7 +320,7 @@
 
     @on_real_clock
     async def test_bytes_that_are_no_text(self):
-        await self.serves_on(lambda text: b"\xff\xfe" + text)
+        await self.serves_on(lambda text: b"\xff\xfe" + text, "codec")
 
     @on_real_clock
     async def test_numbers_that_are_no_ports(self):
@@ -320,15 +328,17 @@
             await self.serves_on(
                 lambda text, number=number: re.sub(
                     rb"datagram_port = \d+", b"datagram_port = " + number, text
-                )
+                ),
+                "datagram_port",
             )
 
-    async def serves_on(self, spoil):
+    async def serves_on(self, spoil, named: str):
         async with running_daemon() as daemon:
             whole = daemon.settings.read_bytes()
             daemon.settings.write_bytes(spoil(whole))
             line = await daemon.until_line("reload failed")
             self.assertIn("gateway.ini", line["problem"])
+            self.assertIn(named, line["problem"])
             self.assertEqual((await daemon.ask())[0], 200)
             daemon.settings.write_bytes(whole)
             await daemon.until_line("reload")
