Test that a step of demand keeps a quota; it fails, as an expected failure

Cause: VMs of a failure domain hear each other within half a second and other domains up to a second and a half later. The rule that own demand is counted as old as the oldest news holds for a VM's own, not for that of its domain's other VMs, whose demand its holders serve since quotas have two holders a domain. So each domain's holders see growth in their domain alone.

--- a/tests/gateway/fleet_support.py
+++ b/tests/gateway/fleet_support.py
@@ -55,6 +55,9 @@
         self.sent_bytes = Counter()
         self.far_bytes = 0
         self.ticks = 0
+        # News of other domains that arrives with the next tick only.
+        self.is_far_late = False
+        self.late: list[tuple] = []
         self.is_cut = lambda sender, receiver: False
         for number, domain in enumerate(domains):
             for index in range(domains[domain]):
@@ -70,6 +73,9 @@
     def tick(self):
         """Half a second's heartbeats; each second time with news."""
         self.ticks += 1
+        late, self.late = self.late, []
+        for sender, ip, message in late:
+            self.deliver(sender, ip, message)
         for vm in list(self.vms.values()):
             vm.members.own = vm.beat(vm.quotas.use())
             for member in vm.members.near():
@@ -94,6 +100,14 @@
         receiver = self.vms.get(ip)
         if receiver is None or self.is_cut(sender, receiver):
             return
+        if self.is_far_late and sender.domain != receiver.domain:
+            self.late.append((sender, ip, message))
+            return
+        self.deliver(sender, ip, message)
+
+    def deliver(self, sender: NewsVm, ip: str, message):
+        """Hand a message to its receiver."""
+        receiver, data = self.vms[ip], encode(message)
         if sender.domain.partition("-")[0] != receiver.domain.partition("-")[0]:
             self.far_bytes += len(data)
         message = decode(data)
--- a/tests/gateway/test_quota.py
+++ b/tests/gateway/test_quota.py
@@ -14,13 +14,24 @@
 
 
 class Fleet:
-    """Several VMs' parts of quotas, two in each failure domain, without a network."""
+    """Several VMs' parts of quotas, without a network.
+
+    Parameters
+    ----------
+    count : int
+        Of VMs.
+    domains : int, optional
+        Failure domains that they are spread over; without it two VMs are in each.
+    """
 
-    def __init__(self, count: int):
-        domains = {f"region{n % 3}-{n}": 2 for n in range(count // 2)}
-        self.news = NewsFleet(domains)
+    def __init__(self, count: int, domains: int = 0):
+        domains = domains or count // 2
+        sizes = {f"region{n % 3}-{n}": count // domains for n in range(domains)}
+        self.news = NewsFleet(sizes)
         self.vms = list(self.news.vms.values())
         self.quotas = [vm.quotas for vm in self.vms]
+        for quotas in self.quotas:
+            quotas.workspaces = {WORKSPACE.name: WORKSPACE}
         self.members = [vm.members for vm in self.vms]
         self.admitted: list[float] = []
         self.asked: list[float] = []
@@ -35,9 +46,19 @@
 
     def ask(self, vm: int):
         self.asked.append(trio.current_time())
-        if self.quotas[vm].admit(WORKSPACE) is None:
+        if self.quotas[vm].admit(WORKSPACE) is None or self.is_lent(vm):
             self.admitted.append(trio.current_time())
 
+    def is_lent(self, vm: int) -> bool:
+        """Tell whether a holder of its failure domain lends a VM a token."""
+        holders = self.quotas[vm].holders
+        if holders.is_own(WORKSPACE.name):
+            return False
+        return any(
+            self.news.vms[ip].quotas.take_for_loan(WORKSPACE.name, 0.0, 1.0)
+            for ip in holders.to_ask(WORKSPACE.name)
+        )
+
     async def play(self, seconds: float, rate: float, choose, groups=None):
         """Play a load of `rate` requests a second in all."""
         groups = groups or [range(len(self.quotas))]
@@ -110,6 +131,38 @@
         self.assertLessEqual(fleet.most_in_window(), ALLOWED)
 
 
+class TestStepOfDemand(unittest.TestCase):
+    """A workspace suddenly sends many times as much, everywhere.
+
+    Targets got 1.14 times its quota in a window, where 1.12 was allowed. VMs of a
+    failure domain hear each other within half a second, and other domains a second
+    later. So to the holders of each domain it seemed that demand had grown in theirs
+    alone, and all together took several times the quota until the news had come.
+    """
+
+    async def play_step(self, count: int, before: float, after: float) -> Fleet:
+        fleet = Fleet(count, domains=6)
+        fleet.news.is_far_late = True
+        await fleet.play(12.3, before, lambda rng: rng.randrange(count))
+        await fleet.play(8, after, lambda rng: rng.randrange(count))
+        return fleet
+
+    # Known to fail: see KNOWN-RED.txt. The run fails too if it passes.
+    @unittest.expectedFailure
+    @on_mock_clock
+    async def test_no_window_sees_more_than_the_quota(self):
+        for count, before, after in ((36, 60, 420), (36, 20, 420), (78, 30, 900)):
+            fleet = await self.play_step(count, before, after)
+            self.assertLessEqual(fleet.most_in_window(), ALLOWED)
+
+    @on_mock_clock
+    async def test_quota_is_given_out_when_the_step_is_over(self):
+        fleet = await self.play_step(36, 60, 420)
+        before = len(fleet.admitted)
+        await fleet.play(10, 420, lambda rng: rng.randrange(36))
+        self.assertGreater((len(fleet.admitted) - before) / 10, WORKSPACE.rate_per_s)
+
+
 class TestLoadWithinTheQuota(unittest.TestCase):
     @on_mock_clock
     async def test_uneven_load_is_served(self):
