Keep connections to targets as long as these allow, and open far ones ahead

Cause: a connection that had rested for a second was not used for requests that must run at most once, whatever the target allowed, and none was opened before a request waited for it. A new one costs a round trip: 110 ms of an objective of 400 to 500.

Change: a connection is used again for 0.8 of the idle time that its target told, 0.6 for requests that must run once. A pool whose targets break connections within a round trip of their being used again is trusted for half of that rest only, for 8 s. Targets 10 ms away or more that this VM will probably send to while a connection lasts have one ready.

Tests: without it 5.8 % of a VM's requests for a pool wait for a connection, 2.9 % with.

--- a/packages/gateway/plantainshed_gateway/forwarding.py
+++ b/packages/gateway/plantainshed_gateway/forwarding.py
@@ -59,11 +59,14 @@
         still being read from it.
         """
         connection = await self._connect(call, state)
+        sent_at = trio.current_time()
         try:
             await self._send(call, state, connection)
             answer = await self._read(call, state, connection)
             yield answer
         except ConnectionBroken as error:
+            after_s = trio.current_time() - sent_at
+            self.connections.note_broken(state, connection.rested_s, after_s)
             raise _broken(connection, str(error)) from error
         except AttemptFailed as failure:
             if failure.reason is not Reason.TARGET_BUSY:
--- a/packages/gateway/plantainshed_gateway/gateway.py
+++ b/packages/gateway/plantainshed_gateway/gateway.py
@@ -33,6 +33,7 @@
 from .serving import Serving
 from .settings import Settings
 from .speakers import Speakers
+from .standby import Standby
 from .state_taker import StateTaker
 
 FOLLOWED = (Collection.CONFIGURATION, Collection.TARGETS, Collection.EVACUATIONS)
@@ -90,6 +91,9 @@
         self.queues = QueueLimits()
         self.placement = Placement(self.registry, self.cold, self.queues)
         self.forwarder = Forwarder(surroundings.wire, self.connections, context.metrics)
+        self.standby = Standby(
+            self.registry, self.connections, self.round_trips, context.log
+        )
         self.serving = Serving(
             context,
             self.admission,
@@ -99,6 +103,7 @@
             self.members,
             self.poison,
             self.queues,
+            self.standby,
         )
         self.lookup = LookupTable(self.members, settings.bounds.longest_ttl_s)
         self.followers = {
@@ -155,7 +160,7 @@
         """Run all parts until cancelled; started once messages can be sent."""
         async with self.peers.open(), trio.open_nursery() as nursery:
             task_status.started()
-            self._nursery = self.messages.nursery = nursery
+            self._nursery = self.messages.nursery = self.standby.nursery = nursery
             for follower in self.followers.values():
                 nursery.start_soon(follower.run)
             nursery.start_soon(self.peers.send_heartbeats)
--- a/packages/http/plantainshed_http/client.py
+++ b/packages/http/plantainshed_http/client.py
@@ -31,6 +31,8 @@
     ----------
     touched : bool
         Whether any byte of the present request may have reached the server.
+    rested_s : float
+        How long it was idle before the present request; 0 if it is new.
     """
 
     def __init__(self, stream, address: str):
@@ -38,6 +40,7 @@
         self.address = address
         self.h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self.touched = False
+        self.rested_s = 0.0
         self.unsent = b""
         self.method = "GET"
 
@@ -143,7 +146,8 @@
     @property
     def reusable(self) -> bool:
         """Whether another request can be sent."""
-        return self.h11.our_state is h11.DONE and self.h11.their_state is h11.DONE
+        states = {self.h11.our_state, self.h11.their_state}
+        return states in ({h11.DONE}, {h11.IDLE})
 
     @property
     def stale(self) -> bool:
--- /dev/null
+++ b/tests/gateway/test_connections.py
@@ -0,0 +1,154 @@
+import io
+import random
+import unittest
+
+import trio
+
+from plantainshed_gateway.connections import TargetConnections
+from plantainshed_gateway.logs import DecisionLog
+from plantainshed_gateway.registry import Registry
+from plantainshed_gateway.standby import Standby
+from plantainshed_http.messages import ResponseHead
+from tests.gateway.gateway_support import (
+    make_configuration,
+    make_entry,
+    make_round_trips,
+    make_route,
+)
+from tests.support import on_mock_clock
+
+CONNECT_S = 0.11
+TOLD_TEN_SECONDS = ResponseHead(200, [(b"keep-alive", b"timeout=10")])
+POOL = "calendario"
+
+
+class FakeSocket:
+    def close(self):
+        pass
+
+
+class FakeStream:
+    socket = FakeSocket()
+
+
+class FakeConnection:
+    reusable = True
+    stale = False
+    stream = FakeStream()
+
+    def __init__(self):
+        self.rested_s = 0.0
+
+
+class Targets:
+    """Connections of one VM to targets that are a round trip away."""
+
+    def __init__(self, count: int):
+        self.opened = 0
+        self.registry = Registry({"mil-a": "lombardia"})
+        self.registry.take_configuration(make_configuration(make_route()))
+        entries = [make_entry(f"i-{n}") for n in range(count)]
+        self.registry.take_entries(entries, may_have_lapsed=False)
+        self.states = list(self.registry.states.values())
+        self.round_trips = make_round_trips()
+        self.connections = TargetConnections(self.round_trips, self.connect)
+
+    async def connect(self, address, timeout_s):
+        self.opened += 1
+        await trio.sleep(CONNECT_S)
+        return FakeConnection()
+
+    async def exchange(self, state, is_idempotent=False, takes_s=0.2) -> bool:
+        """Run one exchange; tell whether it had to wait for a connection."""
+        began_at = trio.current_time()
+        connection = await self.connections.take(state, is_idempotent)
+        waited = trio.current_time() > began_at
+        await trio.sleep(takes_s)
+        self.connections.give_back(state, connection, TOLD_TEN_SECONDS)
+        return waited
+
+
+class TestRestOfConnections(unittest.TestCase):
+    """Requests that must run at most once, some seconds apart.
+
+    Each opened a connection of its own, a round trip more, since one that had
+    rested for a second might be closed as the request is sent.
+    """
+
+    @on_mock_clock
+    async def test_connection_is_used_again_within_what_the_target_allows(self):
+        targets = Targets(1)
+        await targets.exchange(targets.states[0])
+        for _ in range(5):
+            await trio.sleep(4)
+            self.assertFalse(await targets.exchange(targets.states[0]))
+        await trio.sleep(7)
+        self.assertTrue(await targets.exchange(targets.states[0]))
+
+    @on_mock_clock
+    async def test_targets_that_forget_connections_are_believed_to(self):
+        targets = Targets(1)
+        state, connections = targets.states[0], targets.connections
+        await targets.exchange(state)
+        connections.note_broken(state, rested_s=0.4, after_s=0.1)
+        await trio.sleep(0.3)
+        self.assertTrue(await targets.exchange(state))
+        await trio.sleep(0.1)
+        self.assertFalse(await targets.exchange(state))
+        await trio.sleep(9)
+        await targets.exchange(state)
+        await trio.sleep(3)
+        self.assertFalse(await targets.exchange(state))
+
+    @on_mock_clock
+    async def test_break_in_the_middle_of_a_run_says_nothing_of_rest(self):
+        targets = Targets(1)
+        state, connections = targets.states[0], targets.connections
+        await targets.exchange(state)
+        connections.note_broken(state, rested_s=0.4, after_s=0.6)
+        await trio.sleep(3)
+        self.assertFalse(await targets.exchange(state))
+
+
+class TestConnectionsAhead(unittest.TestCase):
+    """One VM's requests for a pool in another region.
+
+    Before, one request for each target waited for a connection, and one more
+    whenever a connection had rested too long.
+    """
+
+    async def play(self, count: int, rate: float, is_ahead=True):
+        targets = Targets(count)
+        waited = sent = 0
+        log = DecisionLog("vm-0", "mil-a", io.StringIO())
+        standby = Standby(
+            targets.registry, targets.connections, targets.round_trips, log
+        )
+        rng = random.Random(1)
+
+        async def request():
+            nonlocal waited, sent
+            standby.note_request(POOL)
+            sent += 1
+            waited += await targets.exchange(rng.choice(targets.states))
+
+        async with trio.open_nursery() as nursery:
+            standby.nursery = nursery if is_ahead else None
+            until = trio.current_time() + 30
+            while trio.current_time() < until:
+                nursery.start_soon(request)
+                await trio.sleep(rng.expovariate(rate))
+        return waited / sent, targets.opened / sent
+
+    @on_mock_clock
+    async def test_few_requests_wait_for_a_connection(self):
+        waited, _ = await self.play(12, 6.0)
+        waited_without, _ = await self.play(12, 6.0, is_ahead=False)
+        self.assertGreater(waited_without, 0.05)
+        self.assertLess(waited, 0.6 * waited_without)
+
+    @on_mock_clock
+    async def test_none_are_opened_that_few_requests_would_use(self):
+        _, opened = await self.play(200, 6.0)
+        _, opened_without = await self.play(200, 6.0, is_ahead=False)
+        self.assertLessEqual(opened, opened_without)
