--- a/packages/gateway/plantainshed_gateway/gateway.py
+++ b/packages/gateway/plantainshed_gateway/gateway.py
@@ -88,8 +88,15 @@
         self.peers.seeds = _ips(settings.seeds)
         self.loans = Loans(self.quotas, self.members, self.peers.send, self.round_trips)
         self.admission = Admission(surroundings.wire, self.quotas, self.loans)
-        self.queues = QueueLimits()
-        self.placement = Placement(self.registry, self.cold, self.queues)
+        self.queues = QueueLimits(self.round_trips)
+        self.placement = Placement(
+            settings.region,
+            self.registry,
+            self.cold,
+            self.queues,
+            self.connections,
+            self.round_trips,
+        )
         self.forwarder = Forwarder(surroundings.wire, self.connections, context.metrics)
         self.standby = Standby(
             self.registry, self.connections, self.round_trips, context.log
@@ -272,6 +279,7 @@
             self.quotas.divide()
             self.registry.drop_lapsed()
             self.connections.close_idle(set(self.registry.states))
+            self.standby.measure_unknown()
             for domain, seconds in self.round_trips.by_domain().items():
                 labels = {"failure_domain": domain}
                 self.context.metrics.round_trip.set(labels, seconds)
--- a/packages/gateway/plantainshed_gateway/queueing.py
+++ b/packages/gateway/plantainshed_gateway/queueing.py
@@ -10,8 +10,8 @@
 from attrs import define
 
 from .call import Call
-from .ports import TargetLoad
 from .registry import TargetState
+from .round_trips import RoundTrips
 
 # Weight of a new measurement in the time that a pool's requests run.
 NEW_WEIGHT = 0.1
@@ -29,15 +29,24 @@
 
 
 class QueueLimits:
-    """Compares expected waits with the time that requests have."""
+    """Compares expected waits with the time that requests have.
 
-    def __init__(self):
+    Parameters
+    ----------
+    round_trips : RoundTrips
+    """
+
+    def __init__(self, round_trips: RoundTrips):
+        self.round_trips = round_trips
         self._run_times: dict[str, _RunTime] = {}
 
-    def note_answer(self, pool: str, seconds: float, load: TargetLoad | None):
-        """Take in how long an attempt took that met no queue."""
-        if load is None or load.waiting > 0:
+    def note_answer(self, state: TargetState, seconds: float):
+        """Take in how long an attempt took, if it met no queue."""
+        if state.load is None or state.load.waiting > 0:
             return
+        pool = state.entry.pool
+        seconds -= self.round_trips.known_s(state.entry.failure_domain) or 0.0
+        seconds = max(0.0, seconds)
         known = self._run_times.setdefault(pool, _RunTime(seconds))
         known.note(seconds)
 
@@ -56,6 +65,7 @@
         if wait_s <= 0:
             return True
         run_time_s = self._run_times[state.entry.pool].seconds
-        if wait_s + run_time_s > call.answer_by - trio.current_time():
+        round_trip_s = self.round_trips.known_s(state.entry.failure_domain) or 0.0
+        if wait_s + run_time_s + round_trip_s > call.answer_by - trio.current_time():
             return False
         return wait_s <= call.route.objective_s * WAIT_PART_OF_OBJECTIVE
--- a/packages/gateway/plantainshed_gateway/round_trips.py
+++ b/packages/gateway/plantainshed_gateway/round_trips.py
@@ -5,14 +5,13 @@
 """
 
 from collections import deque
-from statistics import median
 
 from attrs import define, field
 
 from .logs import DecisionLog
 
-# Newest measurements that count. Their median leaves out those that met a lost
-# packet, which is sent again after a second, or a VM that stood still.
+# Newest measurements that count. The shortest of them leaves out those that met a
+# lost packet, which is sent again after a second, or waited for a processor.
 KEPT = 15
 # Round trip that is assumed to a domain before anything was measured.
 UNKNOWN_S = 0.2
@@ -20,14 +19,14 @@
 WAITED_ROUND_TRIPS = 2.0
 ANSWERING_S = 0.03
 LONGEST_WAIT_S = 0.8
-# A median that moved by this factor since it was told last is told again.
+# A round trip that changed by this factor since it was told last is told again.
 TOLD_FACTOR = 1.5
 
 
 @define
 class _Measured:
     newest: deque[float] = field(factory=lambda: deque(maxlen=KEPT))
-    median_s: float = 0.0
+    shortest_s: float = 0.0
     told_s: float = 0.0
 
 
@@ -50,8 +49,8 @@
         """Take in one round trip."""
         measured = self._measured.setdefault(failure_domain, _Measured())
         measured.newest.append(seconds)
-        measured.median_s = median(measured.newest)
-        known, told = measured.median_s, measured.told_s
+        measured.shortest_s = min(measured.newest)
+        known, told = measured.shortest_s, measured.told_s
         if not told or not told / TOLD_FACTOR < known < told * TOLD_FACTOR:
             measured.told_s = known
             self.log.event(
@@ -62,6 +61,10 @@
                 measured=len(measured.newest),
             )
 
+    def is_measured(self, failure_domain: str) -> bool:
+        """Tell whether anything was measured to a domain."""
+        return failure_domain in self._measured
+
     def known_s(self, failure_domain: str) -> float | None:
         """Return the usual round trip; None if nothing was measured.
 
@@ -69,14 +72,14 @@
         """
         measured = self._measured.get(failure_domain)
         if measured is not None:
-            return measured.median_s
+            return measured.shortest_s
         region = self.region_of.get(failure_domain)
         near = [
-            other.median_s
+            other.shortest_s
             for domain, other in self._measured.items()
             if region is not None and self.region_of.get(domain) == region
         ]
-        return median(near) if near else None
+        return min(near) if near else None
 
     def seconds(self, failure_domain: str) -> float:
         """Return the usual round trip, or one that is rather too long."""
@@ -90,8 +93,8 @@
 
     def longest_s(self) -> float:
         """Return the longest usual round trip; 0 if nothing was measured."""
-        return max((m.median_s for m in self._measured.values()), default=0.0)
+        return max((m.shortest_s for m in self._measured.values()), default=0.0)
 
     def by_domain(self) -> dict[str, float]:
         """Return the usual round trip to each domain that was measured."""
-        return {domain: m.median_s for domain, m in self._measured.items()}
+        return {domain: m.shortest_s for domain, m in self._measured.items()}
--- a/packages/gateway/plantainshed_gateway/serving.py
+++ b/packages/gateway/plantainshed_gateway/serving.py
@@ -232,7 +232,7 @@
         else:
             state.note_success()
         self.poison.note_answered(call.mark)
-        self.queues.note_answer(call.pool, took_s, state.load)
+        self.queues.note_answer(state, took_s)
         self.metrics.attempt_latency.observe({"pool": call.pool}, took_s)
         self._log(call, answer.head.status, None, attempt_s=round(took_s, 4))
         return None
--- a/packages/gateway/plantainshed_gateway/standby.py
+++ b/packages/gateway/plantainshed_gateway/standby.py
@@ -24,6 +24,8 @@
 # Pause between looks at a pool, and connections that one look opens.
 LOOK_S = 0.25
 MOST_OPENED = 16
+# Pause between connections to a failure domain of unknown distance.
+MEASURE_PAUSE_S = 1.0
 
 
 class Standby:
@@ -57,6 +59,7 @@
         self._demands: dict[str, Demand] = {}
         self._looked_at: dict[str, float] = {}
         self._opening: set[str] = set()
+        self._measured_at: dict[str, float] = {}
 
     def note_request(self, pool: str):
         """Count a request for a pool, and see to its connections."""
@@ -70,6 +73,22 @@
             self._opening.add(state.entry.instance)
             self.nursery.start_soon(self._open, state)
 
+    def measure_unknown(self):
+        """Open a connection to each failure domain of unknown distance.
+
+        Placing and waits for other VMs depend on it from the first request on.
+        """
+        now = trio.current_time()
+        for state in self.registry.states.values():
+            domain = state.entry.failure_domain
+            if self.round_trips.is_measured(domain) or state.is_out:
+                continue
+            if now - self._measured_at.get(domain, -MEASURE_PAUSE_S) < MEASURE_PAUSE_S:
+                continue
+            self._measured_at[domain] = now
+            self._opening.add(state.entry.instance)
+            self.nursery.start_soon(self._open, state)
+
     def _lacking(self, pool: str, rate: float) -> list[TargetState]:
         """Return far targets that will be used and have no idle connection."""
         usable = self.registry.usable(pool, frozenset())
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -5,6 +5,7 @@
 import trio
 
 from plantainshed_gateway.cold import ColdTargets
+from plantainshed_gateway.connections import TargetConnections
 from plantainshed_gateway.placement import Placement
 from plantainshed_gateway.ports import TargetLoad
 from plantainshed_gateway.queueing import QueueLimits
@@ -15,6 +16,7 @@
     make_call,
     make_configuration,
     make_entry,
+    make_round_trips,
     make_route,
 )
 from tests.support import on_mock_clock
@@ -36,8 +38,18 @@
     return registry
 
 
-def make_placement(registry: Registry) -> Placement:
-    return Placement(registry, ColdTargets(BOUNDS, "vm-0"), QueueLimits())
+def make_placement(
+    registry: Registry, region="lombardia", round_trips=None
+) -> Placement:
+    round_trips = round_trips or make_round_trips()
+    return Placement(
+        region,
+        registry,
+        ColdTargets(BOUNDS, "vm-0"),
+        QueueLimits(round_trips),
+        TargetConnections(round_trips),
+        round_trips,
+    )
 
 
 def owners(registry: Registry, objects=200) -> dict[str, str]:
@@ -186,8 +198,9 @@
         registry = make_registry(2)
         placement = make_placement(registry)
         call = make_call(ROUTE)
-        idle = TargetLoad(running=1, waiting=0, slots=9)
-        placement.queues.note_answer("calendario", 0.15, idle)
+        some = registry.states["i-0"]
+        some.note_load(TargetLoad(running=1, waiting=0, slots=9))
+        placement.queues.note_answer(some, 0.15)
         for state in registry.states.values():
             state.note_load(TargetLoad(running=9, waiting=9, slots=9))
         self.assertIsNotNone(placement.choose(call, CONFIGURATION, set(), VMS))
