Move no tokens between regions for a workspace over its rate

Change: far VMs are not asked, and none ahead, while callers ask for more than the whole quota. Near ones are, a round trip of a millisecond.

Test: no request of a small workspace at four times its rate waits; 1.1 times its rate and more is used.

--- a/packages/gateway/plantainshed_gateway/loans.py
+++ b/packages/gateway/plantainshed_gateway/loans.py
@@ -2,8 +2,9 @@
 
 Load that it answers: a small workspace whose requests clump on one VM while the
 tokens of its quota lie at others. A request that finds none asks near VMs one
-after the other, then far ones at once. A VM that has few left asks ahead, so that
-a request seldom waits for a round trip between regions.
+after the other, then far ones at once, unless the workspace is over its rate: a
+far token would come late and be missed there. A VM that has few left asks ahead,
+so that a request seldom waits for a round trip between regions.
 
 The lender takes tokens from its bucket before it answers, so a lost message loses
 tokens and never makes any. A loan that comes after its request was refused is
@@ -120,7 +121,8 @@
             return False
         self._forget_old()
         rounds = [[lender] for lender in self._near(name)[:NEAR_ASKED]]
-        rounds.append(self._far(name)[:FAR_ASKED])
+        if not self.quotas.is_exhausted(name):
+            rounds.append(self._far(name)[:FAR_ASKED])
         for lenders in filter(None, rounds):
             if await self._ask_all(lenders, name):
                 return True
@@ -156,6 +158,8 @@
         now = trio.current_time()
         if now < self._ahead_not_before.get(name, 0.0):
             return
+        if self.quotas.is_exhausted(name):
+            return
         lenders = [*self._near(name), *self._far(name)]
         able = [lender for lender in lenders if lender.level >= 1.0 + KEPT_TOKENS]
         if not able:
--- a/packages/gateway/plantainshed_gateway/quota.py
+++ b/packages/gateway/plantainshed_gateway/quota.py
@@ -79,6 +79,8 @@
         Of this VM, from 0 to 1; 0 if it holds no part.
     fair_share : float
         The part that its own callers ask for, whoever holds it.
+    demand : float
+        Requests a second that all callers ask for.
     due : deque of tuple
         When which shares were found to be due lately.
     """
@@ -88,6 +90,7 @@
     share: float
     level: float
     fair_share: float = 0.0
+    demand: float = 0.0
     due: deque[tuple[float, float]] = field(factory=deque)
     filled_at: float = field(factory=trio.current_time)
 
@@ -169,6 +172,14 @@
         bucket.fill()
         return bucket.level >= 1.0
 
+    def is_exhausted(self, name: str) -> bool:
+        """Tell whether callers ask for more than the whole quota.
+
+        Tokens of other VMs are then used by their own callers.
+        """
+        bucket = self.buckets.get(name)
+        return bucket is not None and bucket.demand > bucket.rate
+
     def missing_ahead(self, name: str, seconds: float) -> float:
         """Return how many tokens to ask for, so that some are left after a time.
 
@@ -244,6 +255,7 @@
             totals = view.of(name)
             own_demand = own.get(name, 0.0)
             total = own_demand + totals.demand
+            bucket.demand = total
             bucket.fair_share = own_demand / total if total > 0 else 0.0
             if not self.holders.is_own(name):
                 bucket.share = bucket.level = 0.0
--- a/tests/gateway/test_far_loans.py
+++ b/tests/gateway/test_far_loans.py
@@ -120,6 +120,21 @@
         waited = sum(wait > 0.1 for wait in fleet.waits)
         self.assertLess(waited / len(fleet.waits), 0.05)
 
+    @on_mock_clock
+    async def test_no_request_of_a_workspace_over_its_rate_waits(self):
+        """Guards against answers made late by tokens that move for nothing."""
+        async with trio.open_nursery() as nursery:
+            fleet = FarFleet(0.055, nursery)
+            await fleet.play(12, 0.0)
+            await fleet.play(4, SMALL.rate_per_s * 4)
+            fleet.waits.clear()
+            await fleet.play(20, SMALL.rate_per_s * 4)
+            await trio.sleep(2)
+        waited = sum(wait > 0.1 for wait in fleet.waits)
+        self.assertLess(waited / len(fleet.waits), 0.01)
+        used = len(fleet.admitted) / 24 / SMALL.rate_per_s
+        self.assertGreater(used, 1.1)
+
     @on_mock_clock
     async def test_no_window_sees_more_than_the_quota(self):
         """Guards against loans that are counted twice, also late ones.
