Keep the regions' orders of an object until targets change; mend two tests

Grouping an object's targets by region was made anew for each request, with 78 targets of the grown fleet a cost of each request.

--- a/packages/gateway/plantainshed_gateway/placement.py
+++ b/packages/gateway/plantainshed_gateway/placement.py
@@ -17,6 +17,7 @@
 """
 
 import random
+from collections.abc import Callable
 
 import trio
 from attrs import define, field, frozen
@@ -40,8 +41,8 @@
 # on regions are far from each other; below the second one they are near again.
 FAR_PART = 0.12
 NEAR_PART = 0.11
-# Targets that are kept in order for an object, in the fleet and in each region, so
-# that owners are found also when some are out.
+# Targets of the whole fleet that are kept in order for an object, so that owners
+# are found also when some are out.
 CONSIDERED = 6
 CACHED_ORDERS = 20_000
 
@@ -50,7 +51,7 @@
 class _Cached:
     generation: int
     at: int
-    order: tuple[TargetState, ...]
+    order: tuple
 
 
 @define
@@ -127,8 +128,7 @@
             return _first_owners(self._by_load(usable), OWNERS)
         if self._is_far(call.route):
             return self._owners_of_regions(call, usable)
-        order = self._by_object(call, usable, CONSIDERED)
-        choice = _first_owners(order, OWNERS)
+        choice = _first_owners(self._by_object(call, usable), OWNERS)
         if len(choice.owners) == OWNERS:
             first, second = choice.owners
             if first.occupancy > SPILL_OCCUPANCY > second.occupancy:
@@ -146,39 +146,27 @@
 
     def _owners_of_regions(self, call: Call, usable: list[TargetState]) -> _Choice:
         """Return each region's owner, the one that should answer first in front."""
-        by_region: dict[str, list[TargetState]] = {}
-        for state in self._by_object(call, usable, len(usable)):
-            region = self.registry.region_of.get(state.entry.failure_domain, "")
-            by_region.setdefault(region, []).append(state)
-        owning = self._owning_regions(call, by_region) or by_region
         joined = _Choice()
-        for region in owning:
-            choice = _first_owners(by_region[region], 1)
+        for region, states in self._by_region(call, usable):
+            choice = _first_owners(states, 1)
             joined.owners += choice.owners
             if region == self.region:
                 joined.cold = choice.cold
         joined.owners.sort(key=self._expected_s)
         return joined
 
-    def _owning_regions(
-        self, call: Call, by_region: dict[str, list[TargetState]]
-    ) -> list[str]:
-        """Return the regions that own an object.
+    def _by_region(self, call: Call, usable: list[TargetState]) -> tuple:
+        """Return the regions that own an object, each with its targets in order."""
 
-        A region with few slots owns only as many objects as its callers' share of
-        the work fits there; it would be overloaded while others have room.
-        """
-        slots = {
-            region: sum(state.entry.slots for state in states)
-            for region, states in by_region.items()
-        }
-        mean = sum(slots.values()) / len(slots)
-        object_key = f"{call.route.name}/{call.request.affinity}"
-        return [
-            region
-            for region, count in slots.items()
-            if unit_hash(object_key, region) * mean < count
-        ]
+        def make(object_key: str) -> tuple:
+            by_region: dict[str, list[TargetState]] = {}
+            for state in _scored(object_key, usable):
+                region = self.registry.region_of.get(state.entry.failure_domain, "")
+                by_region.setdefault(region, []).append(state)
+            owning = _owning_regions(object_key, by_region) or by_region
+            return tuple((region, by_region[region]) for region in owning)
+
+        return self._cached(call, "regions", make)
 
     def _expected_s(self, state: TargetState) -> float:
         """Return the time until an answer, but for the run itself."""
@@ -191,11 +179,16 @@
         shuffled = self.random.sample(usable, len(usable))
         return sorted(shuffled, key=lambda state: (state.is_cold, state.occupancy))
 
-    def _by_object(
-        self, call: Call, usable: list[TargetState], most: int
-    ) -> tuple[TargetState, ...]:
+    def _by_object(self, call: Call, usable: list[TargetState]) -> tuple:
+        """Return an object's targets in the whole fleet in order, the first few."""
+        return self._cached(
+            call, "fleet", lambda key: tuple(_scored(key, usable)[:CONSIDERED])
+        )
+
+    def _cached(self, call: Call, kind: str, make: Callable[[str], tuple]) -> tuple:
+        """Return an object's order of one kind, made anew when targets changed."""
         object_key = f"{call.route.name}/{call.request.affinity}"
-        cache_key = (object_key, call.pool, call.home_regions, most > CONSIDERED)
+        cache_key = (object_key, kind, call.pool, call.home_regions)
         cached = self._cache.get(cache_key)
         # Weights of new targets grow in steps of a second; while none does, an
         # order holds until the targets change: making one takes 0.66 ms with 128.
@@ -204,18 +197,41 @@
         generation = self.registry.generation
         if cached and cached.generation == generation and cached.at == at:
             return cached.order
-        scored = sorted(
-            usable,
-            key=lambda s: weighted_score(object_key, s.entry.instance, s.weight),
-            reverse=True,
-        )
-        order = tuple(scored[:most])
+        order = make(object_key)
         if len(self._cache) >= CACHED_ORDERS:
             self._cache.clear()
         self._cache[cache_key] = _Cached(generation, at, order)
         return order
 
 
+def _scored(object_key: str, usable: list[TargetState]) -> list[TargetState]:
+    return sorted(
+        usable,
+        key=lambda s: weighted_score(object_key, s.entry.instance, s.weight),
+        reverse=True,
+    )
+
+
+def _owning_regions(
+    object_key: str, by_region: dict[str, list[TargetState]]
+) -> list[str]:
+    """Return the regions that own an object.
+
+    A region with few slots owns only as many objects as its callers' share of the
+    work fits there; it would be overloaded while others have room.
+    """
+    slots = {
+        region: sum(state.entry.slots for state in states)
+        for region, states in by_region.items()
+    }
+    mean = sum(slots.values()) / max(1, len(slots))
+    return [
+        region
+        for region, count in slots.items()
+        if unit_hash(object_key, region) * mean < count
+    ]
+
+
 def _first_owners(order: tuple | list, count: int) -> _Choice:
     """Return the first sound targets, and cold ones in front of the last of them."""
     sound = [state for state in order if not state.is_out]
--- a/tests/gateway/test_far_regions.py
+++ b/tests/gateway/test_far_regions.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from plantainshed_gateway.ports import TargetLoad
 from plantainshed_gateway.registry import Registry
 from tests.gateway.gateway_support import (
     make_call,
@@ -89,6 +90,12 @@
         return in_time / len(self.took)
 
 
+def evolve_load(state, running):
+    """Return a target after it has reported its load."""
+    state.note_load(TargetLoad(running=running, waiting=0, slots=state.entry.slots))
+    return state
+
+
 def chosen(placement, name):
     return placement.choose(make_call(ROUTE, name), CONFIGURATION, set(), VMS)
 
@@ -104,9 +111,8 @@
 
 
 def one_owner(placement, name):
-    return placement._by_object(
-        make_call(ROUTE, name), list(placement.registry.states.values()), 1
-    )[0]
+    states = list(placement.registry.states.values())
+    return placement._by_object(make_call(ROUTE, name), states)[0]
 
 
 class TestOwnersInFarRegions(unittest.TestCase):
@@ -121,7 +127,7 @@
         shares, crossed = {}, {}
         for place in (chosen, one_owner, at_random, least_loaded):
             regions = Regions(0.110)
-            shares[place.__name__] = await regions.play(60, place)
+            shares[place.__name__] = await regions.play(90, place)
             crossed[place.__name__] = regions.crossed / len(regions.took)
         others = [share for name, share in shares.items() if name != "chosen"]
         self.assertGreater(shares["chosen"], max(others) + 0.02)
@@ -140,11 +146,19 @@
         """Guards against a small region's queue while others have room."""
         regions = Regions(0.110)
         placement = regions.placements["be"]
-        first = chosen(placement, "7")
-        self.assertEqual(REGION_OF[first.entry.failure_domain], "be")
-        placement.queues.note_answer(first, 0.2)
-        first.in_flight = 1
-        self.assertIs(chosen(placement, "7"), first)
+        names = [str(n) for n in range(OBJECTS)]
+        first = {name: chosen(placement, name) for name in names}
+        own = [n for n in names if first[n].entry.failure_domain == "be-a"]
+        self.assertTrue(0.3 * OBJECTS < len(own) < 0.8 * OBJECTS, len(own))
+        state = first[own[0]]
+        placement.queues.note_answer(evolve_load(state, running=1), 0.2)
+        state.in_flight = 4
+        self.assertIs(chosen(placement, own[0]), state)
+        state.in_flight = 9
+        other = chosen(placement, own[0])
+        self.assertNotEqual(other.entry.failure_domain, "be-a")
+        there = regions.placements[REGION_OF[other.entry.failure_domain]]
+        self.assertEqual(chosen(there, own[0]).entry, other.entry)
 
     @on_mock_clock
     async def test_owner_that_is_out_is_replaced_in_its_region(self):
