Play placing policies on a model of targets and distances: make experiment

An INI file names policies, loads, distances and seeds; each combination is played with the gateway's own placing, queue limits and connections on a clock that jumps, and one table has means and spreads.

--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,10 @@
 SEED ?= 1
 DURATION ?= 30
 
-.PHONY: run test lint format bench measure capacity soak
+# What `make experiment` plays.
+FILE ?= examples/experiments/far-regions.ini
+
+.PHONY: run test lint format bench measure capacity experiment soak
 
 run: .venv/installed
 	$(BIN)/plantainshed demo --deployment=$(DEPLOYMENT)
@@ -39,6 +42,9 @@
 measure: .venv/installed
 	$(BIN)/python -m plantainshed_measure
 
+experiment: .venv/installed
+	$(BIN)/python -m plantainshed_measure.experiment --file=$(FILE)
+
 traces: .venv/installed
 	$(BIN)/python -m plantainshed_measure.make_traces
 
--- /dev/null
+++ b/packages/measure/plantainshed_measure/placing_model.py
@@ -0,0 +1,337 @@
+"""A model of targets that remember objects, and of VMs that place requests there.
+
+The gateway's own parts decide: placing, queue limits, connections. What they see
+of the world is modelled, on a clock that jumps: distances between regions, slots
+and queues of targets, and runs that take less time for an object that a target
+remembers.
+"""
+
+import io
+import itertools
+import random
+from collections import OrderedDict
+
+import trio
+from attrs import define, field, frozen
+
+from plantainshed_gateway.call import Call
+from plantainshed_gateway.cold import ColdTargets
+from plantainshed_gateway.connections import TargetConnections
+from plantainshed_gateway.logs import DecisionLog
+from plantainshed_gateway.model import (
+    CallerLimits,
+    Configuration,
+    Pool,
+    RequestKind,
+    Route,
+    WeightedPool,
+)
+from plantainshed_gateway.placement import Placement
+from plantainshed_gateway.ports import CallerRequest, TargetEntry, TargetLoad
+from plantainshed_gateway.queueing import QueueLimits
+from plantainshed_gateway.registry import Registry, TargetState
+from plantainshed_gateway.round_trips import RoundTrips
+from plantainshed_gateway.settings import Bounds
+from plantainshed_gateway.standby import Standby
+from plantainshed_http.messages import RequestHead, ResponseHead
+
+from .placing_policies import PlacingPolicy
+
+POOL = "pool"
+NEAR_ROUND_TRIP_S = 0.001
+KEPT_OPEN = ResponseHead(200, [(b"keep-alive", b"timeout=10")])
+BOUNDS = Bounds(
+    stop_within_s=6.0,
+    longest_ttl_s=5.0,
+    retry_ratio=0.2,
+    retry_slack=60.0,
+    retry_window_s=10.0,
+    quota_window_s=5.0,
+    quota_over=0.1,
+    quota_slack=20.0,
+    cold_over=1.5,
+    cold_slack=5.0,
+)
+
+
+@frozen
+class World:
+    """What is modelled.
+
+    Parameters
+    ----------
+    targets_per_region : tuple of int
+    vms_per_region, slots, queue, remembers, objects : int
+        VMs; requests that a target runs at once, and that wait there; objects that
+        it remembers; objects that callers ask for.
+    first_run_s, later_run_s, objective_s, timeout_s : float
+        Run of an object that a target does not remember, and of one that it does;
+        time within which callers want an answer, and longest one that they wait.
+    """
+
+    targets_per_region: tuple[int, ...] = (2, 4, 6)
+    vms_per_region: int = 3
+    slots: int = 3
+    queue: int = 9
+    remembers: int = 25
+    objects: int = 24
+    first_run_s: float = 0.48
+    later_run_s: float = 0.144
+    objective_s: float = 0.4
+    timeout_s: float = 1.2
+
+    @property
+    def regions(self) -> list[str]:
+        """Names of the regions; each has one failure domain of the same name."""
+        return [f"region-{n}" for n in range(len(self.targets_per_region))]
+
+
+class ModelTarget:
+    """Runs requests in slots, keeps some waiting, and remembers objects."""
+
+    def __init__(self, world: World, region: str):
+        self.world = world
+        self.region = region
+        self.slots = trio.CapacityLimiter(world.slots)
+        self.remembered: OrderedDict[str, None] = OrderedDict()
+
+    @property
+    def load(self) -> TargetLoad:
+        """What it would report now."""
+        counts = self.slots.statistics()
+        return TargetLoad(
+            counts.borrowed_tokens, counts.tasks_waiting, self.world.slots
+        )
+
+    @property
+    def is_full(self) -> bool:
+        """Whether it turns requests away."""
+        return self.load.waiting >= self.world.queue
+
+    async def run(self, name: str) -> bool:
+        """Run a request for an object; tell whether it was a first run."""
+        async with self.slots:
+            is_first = name not in self.remembered
+            self.remembered[name] = None
+            self.remembered.move_to_end(name)
+            if len(self.remembered) > self.world.remembers:
+                self.remembered.popitem(last=False)
+            world = self.world
+            await trio.sleep(world.first_run_s if is_first else world.later_run_s)
+        return is_first
+
+
+class ModelConnection:
+    """A connection that nothing goes over."""
+
+    reusable = True
+    stale = False
+
+    def __init__(self):
+        self.rested_s = 0.0
+        self.stream = self
+        self.socket = self
+
+    def close(self):
+        """Do nothing; there is no socket."""
+
+
+@define
+class Tally:
+    """What callers got.
+
+    Attributes
+    ----------
+    took_s : list of float
+        Of answered requests.
+    """
+
+    sent: int = 0
+    in_time: int = 0
+    refused: int = 0
+    crossed: int = 0
+    first_runs: int = 0
+    opened: int = 0
+    took_s: list[float] = field(factory=list)
+
+    def figures(self) -> dict[str, float]:
+        """Return shares of all requests."""
+        sent = max(1, self.sent)
+        return {
+            "in_time": self.in_time / sent,
+            "refused": self.refused / sent,
+            "crossed": self.crossed / sent,
+            "first_runs": self.first_runs / sent,
+            "opened": self.opened / sent,
+            "mean_ms": 1000 * sum(self.took_s) / max(1, len(self.took_s)),
+        }
+
+
+class ModelVm:
+    """One VM's parts that place requests."""
+
+    def __init__(self, fleet: "ModelFleet", region: str, name: str):
+        world = fleet.world
+        self.fleet = fleet
+        self.region = region
+        self.registry = Registry({region: region for region in world.regions})
+        self.registry.take_configuration(fleet.configuration)
+        self.registry.take_entries(fleet.entries, may_have_lapsed=False)
+        log = DecisionLog(name, region, io.StringIO())
+        self.round_trips = RoundTrips(self.registry.region_of, log)
+        for other in world.regions:
+            self.round_trips.note(other, fleet.round_trip_s(region, other))
+        self.connections = TargetConnections(self.round_trips, self._connect)
+        self.queues = QueueLimits(self.round_trips)
+        self.placement = Placement(
+            region,
+            self.registry,
+            ColdTargets(BOUNDS, name),
+            self.queues,
+            self.connections,
+            self.round_trips,
+        )
+        self.standby = Standby(self.registry, self.connections, self.round_trips, log)
+
+    async def _connect(self, address: str, timeout_s: float) -> ModelConnection:
+        target = self.fleet.targets[address]
+        self.fleet.tally.opened += 1
+        await trio.sleep(self.fleet.round_trip_s(self.region, target.region))
+        return ModelConnection()
+
+    def states(self) -> list[TargetState]:
+        """Return all targets as this VM sees them."""
+        return list(self.registry.states.values())
+
+    async def request(self, name: str):
+        """Serve a request for an object."""
+        tally, began_at = self.fleet.tally, trio.current_time()
+        tally.sent += 1
+        self.standby.note_request(POOL)
+        call = self.fleet.make_call(name)
+        state = self.fleet.policy.choose(self, call)
+        if state is None or self.fleet.targets[state.entry.address].is_full:
+            tally.refused += 1
+            return
+        await self._attempt(state, name)
+        took_s = trio.current_time() - began_at
+        tally.took_s.append(took_s)
+        tally.in_time += took_s <= self.fleet.world.objective_s
+
+    async def _attempt(self, state: TargetState, name: str):
+        tally, began_at = self.fleet.tally, trio.current_time()
+        target = self.fleet.targets[state.entry.address]
+        one_way_s = self.fleet.round_trip_s(self.region, target.region) / 2
+        state.in_flight += 1
+        connection = await self.connections.take(state, is_idempotent=False)
+        await trio.sleep(one_way_s)
+        is_first = await target.run(name)
+        load = target.load
+        await trio.sleep(one_way_s)
+        state.note_load(load)
+        state.in_flight -= 1
+        self.connections.give_back(state, connection, KEPT_OPEN)
+        self.queues.note_answer(state, trio.current_time() - began_at)
+        tally.first_runs += is_first
+        tally.crossed += target.region != self.region
+
+
+class ModelFleet:
+    """VMs and targets of all regions.
+
+    Parameters
+    ----------
+    world : World
+    policy : PlacingPolicy
+    between_regions_s : float
+        Round trip between any two regions.
+    """
+
+    def __init__(self, world: World, policy: PlacingPolicy, between_regions_s: float):
+        self.world = world
+        self.policy = policy
+        self.between_regions_s = between_regions_s
+        self.tally = Tally()
+        self.route = Route(
+            name="route",
+            host="host",
+            prefix="/",
+            kind=RequestKind.NON_IDEMPOTENT,
+            pools=(WeightedPool(POOL, 1.0),),
+            timeout_s=world.timeout_s,
+            objective_s=world.objective_s,
+            attempts=2,
+            is_sticky=True,
+        )
+        self.configuration = Configuration(
+            1,
+            {"host": {"/": self.route}},
+            {POOL: Pool(POOL)},
+            {},
+            False,
+            CallerLimits(),
+        )
+        self.entries = [
+            _entry(region, number, world)
+            for region, count in zip(
+                world.regions, world.targets_per_region, strict=True
+            )
+            for number in range(count)
+        ]
+        self.targets = {
+            entry.address: ModelTarget(world, entry.failure_domain)
+            for entry in self.entries
+        }
+        self.vms = [
+            ModelVm(self, region, f"{region}-vm-{number}")
+            for region in world.regions
+            for number in range(world.vms_per_region)
+        ]
+        self._numbers = itertools.count()
+
+    def round_trip_s(self, region: str, other: str) -> float:
+        """Return the round trip between two regions."""
+        return NEAR_ROUND_TRIP_S if region == other else self.between_regions_s
+
+    def make_call(self, name: str) -> Call:
+        """Return a request for an object as the gateway sees it."""
+        now = trio.current_time()
+        request_id = str(next(self._numbers))
+        return Call(
+            head=RequestHead("POST", "/", []),
+            request=CallerRequest(request_id, "host", "/", None, name, None),
+            route=self.route,
+            workspace=None,
+            body=b"",
+            answer_by=now + self.world.timeout_s,
+            wait_until=now + self.world.timeout_s,
+            pool=POOL,
+            began_at=now,
+        )
+
+    async def play(self, load: float, seconds: float, seed: int):
+        """Play `load` requests a second, alike at all VMs."""
+        rng = random.Random(seed)
+        for vm in self.vms:
+            vm.placement.random.seed(seed)
+        async with trio.open_nursery() as nursery:
+            for vm in self.vms:
+                vm.standby.nursery = nursery if self.policy.opens_ahead else None
+            until = trio.current_time() + seconds
+            while trio.current_time() < until:
+                name = str(rng.randrange(self.world.objects))
+                nursery.start_soon(rng.choice(self.vms).request, name)
+                await trio.sleep(rng.expovariate(load))
+
+
+def _entry(region: str, number: int, world: World) -> TargetEntry:
+    instance = f"{region}-target-{number}"
+    return TargetEntry(
+        instance=instance,
+        pool=POOL,
+        address=f"{instance}:80",
+        failure_domain=region,
+        slots=world.slots,
+        is_leaving=False,
+        cold_for_s=0.0,
+    )
--- /dev/null
+++ b/tests/measure/test_experiment.py
@@ -0,0 +1,45 @@
+import tempfile
+import unittest
+from pathlib import Path
+
+from plantainshed_measure.experiment import BadExperiment, play_all, read_experiment
+
+EXAMPLE = Path(__file__).parents[2] / "examples/experiments/far-regions.ini"
+
+
+class TestExperiments(unittest.TestCase):
+    def read(self, **changed):
+        lines = []
+        for line in EXAMPLE.read_text().splitlines():
+            name = line.partition("=")[0].strip()
+            lines.append(f"{name} = {changed[name]}" if name in changed else line)
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder, "experiment.ini")
+            path.write_text("\n".join(lines))
+            return read_experiment(path)
+
+    def test_one_row_for_each_combination(self):
+        experiment = self.read(
+            policies="chosen, random",
+            round_trips="110ms",
+            loads="30, 60",
+            seeds="1, 2",
+            length="3s",
+        )
+        rows = play_all(experiment, jobs=1)
+        self.assertEqual(
+            [(row["load"], row["policy"]) for row in rows],
+            [(30, "chosen"), (30, "random"), (60, "chosen"), (60, "random")],
+        )
+        self.assertTrue(all(0 < row["in_time"] <= 1 for row in rows))
+
+    def test_faults_of_a_file_are_told(self):
+        """Guards against a misspelt policy that is left out without a word."""
+        for changed in (
+            {"policies": "chosen, best"},
+            {"length": "30"},
+            {"slots": "many"},
+            {"seeds": "1, x"},
+        ):
+            with self.subTest(changed), self.assertRaises(BadExperiment):
+                self.read(**changed)
