--- /dev/null
+++ b/packages/gateway/plantainshed_gateway/survey.py
@@ -0,0 +1,65 @@
+"""Measuring the distance to failure domains before requests need to know it."""
+
+import trio
+
+from plantainshed_http.errors import ConnectFailed
+
+from .connections import TargetConnections
+from .logs import DecisionLog
+from .registry import Registry, TargetState
+from .round_trips import RoundTrips
+
+# Pause between connections to a failure domain of unknown distance.
+PAUSE_S = 1.0
+
+
+class Survey:
+    """Opens one connection to each failure domain of unknown distance.
+
+    Placing and waits for other VMs depend on distances from the first request on.
+
+    Parameters
+    ----------
+    registry : Registry
+    connections : TargetConnections
+    round_trips : RoundTrips
+    log : DecisionLog
+    """
+
+    def __init__(
+        self,
+        registry: Registry,
+        connections: TargetConnections,
+        round_trips: RoundTrips,
+        log: DecisionLog,
+    ):
+        self.registry = registry
+        self.connections = connections
+        self.round_trips = round_trips
+        self.log = log
+        self._measured_at: dict[str, float] = {}
+
+    def measure_unknown(self, nursery: trio.Nursery):
+        """Start measuring; what is under way, or failed a moment ago, waits."""
+        now = trio.current_time()
+        for state in self.registry.states.values():
+            domain = state.entry.failure_domain
+            if self.round_trips.is_measured(domain) or state.is_out:
+                continue
+            if now - self._measured_at.get(domain, -PAUSE_S) < PAUSE_S:
+                continue
+            self._measured_at[domain] = now
+            nursery.start_soon(self._measure, state)
+
+    async def _measure(self, state: TargetState):
+        try:
+            connection = await self.connections.open(state)
+        except ConnectFailed as error:
+            self.log.event(
+                "distance not measured",
+                to=state.entry.failure_domain,
+                target=state.entry.instance,
+                problem=str(error),
+            )
+        else:
+            self.connections.keep(state, connection)
