Look for lenders only when they are asked, and for unmeasured domains only if any

Each admitted request of a VM made lists of all lenders before it was known that nothing is missing, and each loan the far ones before the near had been asked.

--- a/packages/gateway/plantainshed_gateway/loans.py
+++ b/packages/gateway/plantainshed_gateway/loans.py
@@ -12,7 +12,7 @@
 """
 
 import itertools
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import trio
 from attrs import define, field, frozen
@@ -120,10 +120,7 @@
         if trio.current_time() < self._not_before.get(name, 0.0):
             return False
         self._forget_old()
-        rounds = [[lender] for lender in self._near(name)[:NEAR_ASKED]]
-        if not self.quotas.is_exhausted(name):
-            rounds.append(self._far(name)[:FAR_ASKED])
-        for lenders in filter(None, rounds):
+        for lenders in self._rounds(name):
             if await self._ask_all(lenders, name):
                 return True
             if self.quotas.has_token(name):
@@ -132,6 +129,15 @@
         self._not_before[name] = trio.current_time() + REFUSED_PAUSE_S
         return False
 
+    def _rounds(self, name: str) -> Iterator[list[_Lender]]:
+        """Yield whom to ask at once; mostly the first round is the only one."""
+        for lender in self._near(name)[:NEAR_ASKED]:
+            yield [lender]
+        if not self.quotas.is_exhausted(name):
+            far = self._far(name)[:FAR_ASKED]
+            if far:
+                yield far
+
     async def _ask_all(self, lenders: list[_Lender], name: str) -> bool:
         """Ask some VMs at once; tell whether a token came in time."""
         asked = _Round()
@@ -160,15 +166,16 @@
             return
         if self.quotas.is_exhausted(name):
             return
+        most = self.quotas.missing_ahead(name, self.round_trips.longest_s())
+        if most < 1.0:
+            return
         lenders = [*self._near(name), *self._far(name)]
         able = [lender for lender in lenders if lender.level >= 1.0 + KEPT_TOKENS]
         if not able:
             return
         wait_s = self.round_trips.wait_s(able[0].failure_domain)
-        most = min(MOST_LENT, self.quotas.missing_ahead(name, wait_s))
-        if most < 1.0:
-            return
         self._ahead_not_before[name] = now + wait_s
+        most = min(MOST_LENT, most)
         await self._ask(able[0], name, most, KEPT_TOKENS, _Round())
 
     # Whom to ask.
--- a/packages/gateway/plantainshed_gateway/survey.py
+++ b/packages/gateway/plantainshed_gateway/survey.py
@@ -42,9 +42,14 @@
     def measure_unknown(self, nursery: trio.Nursery):
         """Start measuring; what is under way, or failed a moment ago, waits."""
         now = trio.current_time()
-        for state in self.registry.states.values():
+        unknown = {
+            domain
+            for domain in self.registry.region_of
+            if not self.round_trips.is_measured(domain)
+        }
+        for state in self.registry.states.values() if unknown else ():
             domain = state.entry.failure_domain
-            if self.round_trips.is_measured(domain) or state.is_out:
+            if domain not in unknown or state.is_out:
                 continue
             if now - self._measured_at.get(domain, -PAUSE_S) < PAUSE_S:
                 continue
