Tell the age and revision of each copy, and what is not put in force

In the incident of refused proper requests, logs and metrics showed twelve VMs at an old version and nothing else: a watch that was never answered, a newer version that was dropped as not newer, and a copy whose revision had run ahead of its content all looked the same. Gauges plantainshed_copy_age_seconds and plantainshed_copy_revision by collection, and the line 'configuration not newer', tell them apart. Nothing is decided otherwise than before.

--- a/packages/gateway/plantainshed_gateway/gateway.py
+++ b/packages/gateway/plantainshed_gateway/gateway.py
@@ -286,12 +286,20 @@
             self.registry.drop_lapsed()
             self.connections.close_idle(set(self.registry.states))
             self.survey.measure_unknown(self._nursery)
-            for domain, seconds in self.round_trips.by_domain().items():
-                labels = {"failure_domain": domain}
-                self.context.metrics.round_trip.set(labels, seconds)
+            self._measure()
             for vm in self.members.forget_gone():
                 self.log.event("vm forgotten", peer=vm)
 
+    def _measure(self):
+        metrics = self.context.metrics
+        for domain, seconds in self.round_trips.by_domain().items():
+            metrics.round_trip.set({"failure_domain": domain}, seconds)
+        for collection, replica in self.replicas.items():
+            labels = {"collection": collection.value}
+            metrics.copy_revision.set(labels, replica.revision)
+            if replica.is_known:
+                metrics.copy_age.set(labels, trio.current_time() - replica.heard_at)
+
     async def _catch_up_after(self, paused_s: float):
         """Learn what changed while this process stood still."""
         self.log.event("was paused", seconds=round(paused_s, 3))
--- a/packages/gateway/plantainshed_gateway/metrics.py
+++ b/packages/gateway/plantainshed_gateway/metrics.py
@@ -36,6 +36,16 @@
             "Usual time to a failure domain and back.",
             registry=self.registry,
         )
+        self.copy_age = Gauge(
+            "plantainshed_copy_age_seconds",
+            "Time since the store, or a peer, last confirmed a collection's copy.",
+            registry=self.registry,
+        )
+        self.copy_revision = Gauge(
+            "plantainshed_copy_revision",
+            "Revision of the store up to which a collection's copy is complete.",
+            registry=self.registry,
+        )
         self.state = Gauge(
             "plantainshed_state", "State of this VM.", registry=self.registry
         )
--- a/packages/gateway/plantainshed_gateway/state_taker.py
+++ b/packages/gateway/plantainshed_gateway/state_taker.py
@@ -85,6 +85,12 @@
     def _put_in_force(self, configuration: Configuration):
         known = self.admission.configuration
         if known is not None and configuration.version <= known.version:
+            self.log.event(
+                "configuration not newer",
+                version=configuration.version,
+                version_in_force=known.version,
+                revision=self.followers[Collection.CONFIGURATION].replica.revision,
+            )
             return
         self.admission.configuration = configuration
         routes = [r for by in configuration.routes.values() for r in by.values()]
--- a/tests/gateway/gateway_support.py
+++ b/tests/gateway/gateway_support.py
@@ -35,6 +35,16 @@
 POOL = Pool("calendario", warmup_s=3.0, warmup_per_s=15.0)
 
 
+class NoLog:
+    """Keeps the events that a log would write."""
+
+    def __init__(self):
+        self.events = []
+
+    def event(self, event, **fields):
+        self.events.append((event, fields))
+
+
 def make_route(name="read", pools=(("calendario", 1.0),), **more) -> Route:
     return Route(
         **{
--- a/tests/gateway/test_state.py
+++ b/tests/gateway/test_state.py
@@ -17,6 +17,7 @@
 )
 from plantainshed_gateway.replication import Follower, Replica
 from tests.gateway.gateway_support import (
+    NoLog,
     make_configuration,
     make_heartbeat,
     make_members,
@@ -25,14 +26,6 @@
 from tests.support import on_mock_clock
 
 
-class NoLog:
-    def __init__(self):
-        self.events = []
-
-    def event(self, event, **fields):
-        self.events.append((event, fields))
-
-
 class SilentStore:
     """A store that was read once and then says nothing to this VM."""
 
--- a/tests/platform/test_fleet.py
+++ b/tests/platform/test_fleet.py
@@ -11,7 +11,7 @@
 from plantainshed_gateway.heartbeats import VmState
 from plantainshed_gateway.logs import DecisionLog
 from plantainshed_gateway.peers import StateHandler
-from plantainshed_gateway.ports import Lookup, Surroundings
+from plantainshed_gateway.ports import Collection, Lookup, Surroundings
 from plantainshed_gateway.settings import Addresses, Settings
 from plantainshed_http.server import Stopping, serve_http
 from plantainshed_platform.decoding import PlatformDecoder
@@ -64,6 +64,10 @@
         self.doors: list[Door] = []
         self.gateways: list[Gateway] = []
 
+    def config_watches(self) -> int:
+        """Return how many watches of the configuration were ever begun."""
+        return sum("/config?watch" in call for call in self.store.calls)
+
     async def until(self, condition):
         with trio.fail_after(10):
             while not condition():
@@ -132,6 +136,10 @@
     return gateway.admission.configuration.version
 
 
+def rendered_metrics(gateway: Gateway) -> str:
+    return gateway.context.metrics.render().decode()
+
+
 class TestState(unittest.TestCase):
     @on_real_clock
     async def test_vm_that_the_store_turns_away_learns_from_another(self):
@@ -168,6 +176,20 @@
             self.assertEqual(list(started.registry.states), ["i-0"])
 
 
+class TestMetrics(unittest.TestCase):
+    @on_real_clock
+    async def test_age_and_revision_of_copies_are_told(self):
+        """Nothing told an idle copy from one that the store had stopped confirming."""
+        async with running_fleet(1) as fleet:
+            gateway, name = fleet.gateways[0], 'collection="configuration"'
+            await fleet.until(
+                lambda: f"copy_age_seconds{{{name}}}" in rendered_metrics(gateway)
+            )
+            revision = gateway.replicas[Collection.CONFIGURATION].revision
+            line = f"plantainshed_copy_revision{{{name}}} {revision}"
+            self.assertIn(line, rendered_metrics(gateway))
+
+
 class TestLookups(unittest.TestCase):
     @on_real_clock
     async def test_leaving_vm_is_named_by_nobody(self):
