Reproduce VMs that keep an old configuration after unanswered watches

Three gateways over loopback; the store answers nobody while all three begin their next watch of the configuration, then answers again and gets a newer version.

--- a/tests/platform/test_fleet.py
+++ b/tests/platform/test_fleet.py
@@ -175,6 +175,20 @@
             self.assertEqual(version(started), 7)
             self.assertEqual(list(started.registry.states), ["i-0"])
 
+    @unittest.expectedFailure
+    @on_real_clock
+    async def test_watches_that_the_store_never_took_up_are_noticed(self):
+        """All VMs refused newer keys for as long as a watch may wait."""
+        async with running_fleet() as fleet:
+            fleet.store.put("config", "main", configuration(8))
+            await fleet.until(lambda: all(version(g) == 8 for g in fleet.gateways))
+            fleet.store.answers = "silent"
+            begun = fleet.config_watches()
+            await fleet.until(lambda: fleet.config_watches() == begun + 3)
+            fleet.store.answers = "yes"
+            fleet.store.put("config", "main", configuration(9))
+            await fleet.until(lambda: all(version(g) == 9 for g in fleet.gateways))
+
 
 class TestMetrics(unittest.TestCase):
     @on_real_clock
