Drop changes that newer ones have overtaken

Callers could meet a target, route or key that had been removed: changes fetched from a peer were applied also when the own watch had brought newer ones meanwhile, and an object deleted in between came back for good, as its copy's revision was already past the deletion. The test failed before (True is not false).

--- a/packages/gateway/plantainshed_gateway/replication.py
+++ b/packages/gateway/plantainshed_gateway/replication.py
@@ -109,7 +109,10 @@
         return changed
 
     def take_changes(self, changes: Changes) -> bool:
-        """Apply what a watch brought; tell whether anything changed."""
+        """Apply what a watch or a peer told; tell whether anything changed."""
+        if changes.revision < self.revision:
+            # Overtaken on its way: an object deleted since would come back.
+            return False
         self.heard_at = trio.current_time()
         changed = False
         for change in changes.changes:
--- a/tests/gateway/test_state.py
+++ b/tests/gateway/test_state.py
@@ -52,6 +52,17 @@
         replica.take_changes(old)
         self.assertEqual(replica.items["a"].value, "new")
 
+    @on_mock_clock
+    async def test_changes_overtaken_on_their_way_bring_nothing_back(self):
+        """A target that had left came back with a peer's older changes."""
+        replica = Replica(Collection.TARGETS)
+        replica.take_snapshot(Snapshot((), 7))
+        created = Change(Item("a", 8, 1), False)
+        deleted = Change(Item("a", 9, 1), True)
+        replica.take_changes(Changes((created, deleted), 9))
+        self.assertFalse(replica.take_changes(Changes((created,), 8)))
+        self.assertEqual(replica.items, {})
+
     @on_mock_clock
     async def test_tells_changes_since_a_revision_or_nothing(self):
         """A VM that asks for what it missed must get all of it or the whole.
