Count copies complete only up to what each poll was answered with

After a poll of the configuration that names revision N, the other collections are polled and all copies were marked complete up to N, also when a lagging part of the store answered one of these polls with an older revision. The copy then asked for changes after N and never got those before: callers would go on being sent to a target that has left until its collection is listed again.

All copies now count as complete up to the lowest revision that they have after these polls. tests.gateway.test_freshness test_poll_answered_late_by_the_store_loses_no_change failed before (TooSlowError, the change was never taken) and passes.

--- a/packages/gateway/plantainshed_gateway/freshness.py
+++ b/packages/gateway/plantainshed_gateway/freshness.py
@@ -87,8 +87,14 @@
         newest = await self.followers[Collection.CONFIGURATION].poll()
         if self.is_lost or not self._knows_all_up_to(newest):
             await self._poll_others()
+            newest = min(newest, self._polled_up_to())
         return newest
 
+    def _polled_up_to(self) -> int:
+        # A part of the store that lags can answer one poll with an older revision
+        # than it answered another.
+        return min(f.replica.revision for f in self.followers.values())
+
     async def _poll_others(self):
         for collection, follower in self.followers.items():
             if collection is not Collection.CONFIGURATION:
--- a/tests/gateway/test_freshness.py
+++ b/tests/gateway/test_freshness.py
@@ -29,6 +29,8 @@
         Collections whose waiting watches are never answered.
     oldest : int
         Changes up to this revision are forgotten.
+    lagging_at : dict of Collection to int
+        Revision up to which polls of a collection are answered, if not to the newest.
     """
 
     def __init__(self):
@@ -38,6 +40,7 @@
         self.is_silent = False
         self.deaf: set[Collection] = set()
         self.oldest = 0
+        self.lagging_at: dict[Collection, int] = {}
         self.polls: list[Collection] = []
         self.lists: list[Collection] = []
 
@@ -68,11 +71,18 @@
             raise StoreUnavailable("no answer")
         if revision < self.oldest:
             raise HistoryGone("gone")
+        if not wait_s and collection in self.lagging_at:
+            return self._as_of(collection, revision, self.lagging_at[collection])
         with trio.move_on_after(wait_s):
             while not self._since(collection, revision):
                 await self.changed.wait()
         return Changes(self._since(collection, revision), self.revision)
 
+    def _as_of(self, collection, revision, newest):
+        since = self._since(collection, revision)
+        known = tuple(change for change in since if change.item.revision <= newest)
+        return Changes(known, newest)
+
     def _since(self, collection, revision):
         return tuple(
             change
@@ -163,6 +173,21 @@
             seconds = await vm.seconds_until(Collection.TARGETS, "leaving")
             self.assertLess(seconds, INTERVAL_S + 3 * ANSWER_S)
 
+    @on_mock_clock
+    async def test_poll_answered_late_by_the_store_loses_no_change(self):
+        """A copy marked complete past a change never asked for it again."""
+        async with running_vm() as vm:
+            vm.store.deaf = {Collection.TARGETS}
+            vm.followers[Collection.TARGETS].restart_watch()
+            await trio.sleep(1)
+            vm.store.lagging_at = {Collection.TARGETS: vm.store.revision}
+            vm.store.put(Collection.TARGETS, "leaving")
+            vm.store.put(Collection.CONFIGURATION, "known")
+            await trio.sleep(INTERVAL_S + 3 * ANSWER_S)
+            vm.store.lagging_at = {}
+            with trio.fail_after(INTERVAL_S + 3 * ANSWER_S):
+                await vm.seconds_until(Collection.TARGETS, "leaving")
+
     @on_mock_clock
     async def test_polls_are_one_an_interval_while_watches_bring_all(self):
         """Polls of each collection would cost three times as many calls."""
