Poll more rarely while the store turns polls away

A store that is lost was polled again 0.1 s after each answer, also when it answers at once that it is too busy, or refuses the connection: up to ten polls a second from each of two VMs of a failure domain, for as long as the outage lasts, where watches come back after 0.8 s at most. Such a store was kept busy by the polls.

The time from one lost poll to the next now doubles from 0.1 s to 0.8 s. A poll that got no answer has taken longer than that, so after a silence the next still leaves 0.1 s later. tests.gateway.test_freshness test_polls_that_are_turned_away_become_rarer failed before (more than 25 polls in 20 s) and passes.

--- a/packages/gateway/plantainshed_gateway/freshness.py
+++ b/packages/gateway/plantainshed_gateway/freshness.py
@@ -18,7 +18,7 @@
 
 from .errors import HistoryGone, StoreUnavailable
 from .ports import Collection
-from .replication import FIRST_RETRY_S, KEPT_CHANGES, Follower
+from .replication import FIRST_RETRY_S, KEPT_CHANGES, LONGEST_RETRY_S, Follower
 
 IsOnDuty = Callable[[], bool]
 
@@ -53,14 +53,16 @@
         self.vm = vm
         self.confirmed_revision = 0
         self.is_lost = False
+        self._retry_s = FIRST_RETRY_S
 
     async def run(self, interval_s: Callable[[], float]):
         """Poll at each interval until cancelled."""
         await trio.sleep(interval_s() * unit_hash(self.vm, "freshness"))
         while True:
+            began_at = trio.current_time()
             if self._can_poll():
                 await self.check()
-            await trio.sleep(FIRST_RETRY_S if self.is_lost else interval_s())
+            await trio.sleep(self._pause_s(began_at, interval_s()))
 
     def _can_poll(self) -> bool:
         copies = [follower.replica for follower in self.followers.values()]
@@ -69,6 +71,17 @@
             self.is_lost = False
         return can_poll
 
+    def _pause_s(self, began_at: float, interval_s: float) -> float:
+        if not self.is_lost:
+            self._retry_s = FIRST_RETRY_S
+            return interval_s
+        # An unanswered poll has taken its time already; one that was turned away
+        # at once has not, and the store may be turning away what is too much.
+        took_s = trio.current_time() - began_at
+        pause_s = max(FIRST_RETRY_S, self._retry_s - took_s)
+        self._retry_s = min(LONGEST_RETRY_S, 2 * self._retry_s)
+        return pause_s
+
     async def check(self):
         """Find out whether the copies are complete, and complete them."""
         try:
--- a/tests/gateway/test_freshness.py
+++ b/tests/gateway/test_freshness.py
@@ -7,7 +7,7 @@
 from plantainshed_gateway.freshness import Freshness
 from plantainshed_gateway.heartbeats import VmState
 from plantainshed_gateway.ports import Change, Changes, Collection, Item, Snapshot
-from plantainshed_gateway.replication import Follower
+from plantainshed_gateway.replication import LONGEST_RETRY_S, Follower
 from plantainshed_gateway.speakers import Speakers
 from tests.gateway.gateway_support import NoLog, make_heartbeat, make_members
 from tests.support import on_mock_clock
@@ -25,6 +25,8 @@
     ----------
     is_silent : bool
         Whether calls that begin now are never answered.
+    is_refusing : bool
+        Whether calls that begin now are turned away at once.
     deaf : set of Collection
         Collections whose waiting watches are never answered.
     oldest : int
@@ -38,6 +40,7 @@
         self.history: list[tuple[Collection, Change]] = []
         self.changed = trio.Event()
         self.is_silent = False
+        self.is_refusing = False
         self.deaf: set[Collection] = set()
         self.oldest = 0
         self.lagging_at: dict[Collection, int] = {}
@@ -91,6 +94,9 @@
         )
 
     async def _answer(self, wait_s=0.0):
+        if self.is_refusing:
+            await trio.sleep(ANSWER_S)
+            raise StoreUnavailable("turned away")
         if self.is_silent:
             await trio.sleep(wait_s + CALL_TIMEOUT_S)
             raise StoreUnavailable("no answer")
@@ -223,6 +229,19 @@
             await trio.sleep(CALL_TIMEOUT_S + 0.5)
             self.assertTrue(vm.followers[Collection.CONFIGURATION].is_in_touch)
 
+    @on_mock_clock
+    async def test_polls_that_are_turned_away_become_rarer(self):
+        """Polls kept a store that turns away what is too much busy, ten a second."""
+        async with running_vm() as vm:
+            vm.store.is_refusing = True
+            await trio.sleep(INTERVAL_S + 2 * LONGEST_RETRY_S)
+            vm.store.polls.clear()
+            await trio.sleep(20)
+            self.assertLessEqual(len(vm.store.polls), 20 / LONGEST_RETRY_S)
+            vm.store.is_refusing = False
+            await trio.sleep(LONGEST_RETRY_S + 0.2)
+            self.assertFalse(vm.freshness.is_lost)
+
     @on_mock_clock
     async def test_vm_off_duty_sends_no_polls(self):
         """Polls of every VM would grow with the fleet."""
