Poll a lost store until it answers, also off duty

A VM that was on duty while the store was silent and went off duty before it answered forgot that it had lost the store. Its watches, sent into the silence, stayed unanswered for up to 21 s, and for as long its heartbeats said that it hears nothing: the resting VMs of its domain then had one VM less to have changes from. The line 'store regained' came as late, and entries of targets that vanished then counted as lapsed although the store had long been back.

tests.gateway.test_freshness test_vm_that_goes_off_duty_in_a_silence_sends_its_watches_again failed before (not in touch 1.5 s after the silence) and passes.

--- a/packages/gateway/plantainshed_gateway/freshness.py
+++ b/packages/gateway/plantainshed_gateway/freshness.py
@@ -65,11 +65,11 @@
             await trio.sleep(self._pause_s(began_at, interval_s()))
 
     def _can_poll(self) -> bool:
+        # Off duty too, a lost store is polled until it answers: watches that were
+        # sent into its silence are sent again then.
         copies = [follower.replica for follower in self.followers.values()]
-        can_poll = self.is_on_duty() and all(copy.is_known for copy in copies)
-        if not can_poll:
-            self.is_lost = False
-        return can_poll
+        is_wanted = self.is_lost or self.is_on_duty()
+        return is_wanted and all(copy.is_known for copy in copies)
 
     def _pause_s(self, began_at: float, interval_s: float) -> float:
         if not self.is_lost:
--- a/tests/gateway/test_freshness.py
+++ b/tests/gateway/test_freshness.py
@@ -242,6 +242,22 @@
             await trio.sleep(LONGEST_RETRY_S + 0.2)
             self.assertFalse(vm.freshness.is_lost)
 
+    @on_mock_clock
+    async def test_vm_that_goes_off_duty_in_a_silence_sends_its_watches_again(self):
+        """A VM whose watches went silent counted as cut off for 20 s more."""
+        async with running_vm() as vm:
+            vm.store.put(Collection.TARGETS, "first")
+            vm.store.is_silent = True
+            await trio.sleep(5)
+            vm.is_on_duty = False
+            await trio.sleep(2)
+            vm.store.is_silent = False
+            await trio.sleep(CALL_TIMEOUT_S + 0.5)
+            self.assertTrue(vm.followers[Collection.TARGETS].is_in_touch)
+            vm.store.put(Collection.TARGETS, "second")
+            seconds = await vm.seconds_until(Collection.TARGETS, "second")
+            self.assertLess(seconds, 3 * ANSWER_S)
+
     @on_mock_clock
     async def test_vm_off_duty_sends_no_polls(self):
         """Polls of every VM would grow with the fleet."""
