Drop a lapsed target at the end of its time, not at the next upkeep

While the store may just have come back, an entry that vanishes is kept for 1.8 s, as it may have run out though its target lives. A target that had truly left then got requests for up to 0.25 s more, until the next upkeep: 2.05 s and more after this VM heard of it, where 2 s are allowed.

The registry itself looks whether a lapse is over before it names targets. tests.gateway.test_placement test_lapsed_target_gets_nothing_from_the_end_of_its_time_on failed before (10 != 9) and passes.

--- a/packages/gateway/plantainshed_gateway/registry.py
+++ b/packages/gateway/plantainshed_gateway/registry.py
@@ -1,5 +1,7 @@
 """The targets that registered themselves, and what this VM learned of them."""
 
+from math import inf
+
 import trio
 from attrs import define
 
@@ -74,6 +76,11 @@
         """Whether it is still warming up."""
         return self.cold_until > trio.current_time()
 
+    @property
+    def lapse_ends_at(self) -> float:
+        """When it gets nothing more, if its entry does not come back."""
+        return inf if self.lapsed_at is None else self.lapsed_at + LAPSE_GRACE_S
+
     @property
     def is_out(self) -> bool:
         """Whether it gets nothing for a while."""
@@ -152,6 +159,7 @@
         self._is_first = True
         # Until when some target's share of objects grows.
         self.ramps_until = float("-inf")
+        self._lapse_ends_at = inf
 
     def take_entries(self, entries: list[TargetEntry], may_have_lapsed: bool):
         """Take over the registered targets.
@@ -214,8 +222,7 @@
         gone = [
             instance
             for instance, state in self.states.items()
-            if state.lapsed_at is not None
-            and trio.current_time() - state.lapsed_at > LAPSE_GRACE_S
+            if state.lapse_ends_at <= trio.current_time()
         ]
         for instance in gone:
             del self.states[instance]
@@ -247,6 +254,8 @@
     def _group(self):
         self.generation += 1
         self._by_pool = {}
+        lapses = (state.lapse_ends_at for state in self.states.values())
+        self._lapse_ends_at = min(lapses, default=inf)
         for state in self.states.values():
             entry = state.entry
             if entry.is_leaving or entry.failure_domain in self.evacuated:
@@ -255,6 +264,8 @@
 
     def assigned(self, pool: str, home_regions: frozenset[str]) -> list[TargetState]:
         """Return the targets of a pool that may get new work, sound or not."""
+        if trio.current_time() >= self._lapse_ends_at:
+            self.drop_lapsed()
         states = self._by_pool.get(pool, [])
         if not home_regions:
             return states
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -9,7 +9,7 @@
 from plantainshed_gateway.placement import Placement
 from plantainshed_gateway.ports import TargetLoad
 from plantainshed_gateway.queueing import QueueLimits
-from plantainshed_gateway.registry import Registry
+from plantainshed_gateway.registry import LAPSE_GRACE_S, Registry
 from plantainshed_gateway.splitting import Splitter
 from tests.gateway.gateway_support import (
     BOUNDS,
@@ -230,6 +230,22 @@
         registry.drop_lapsed()
         self.assertEqual(len(registry.usable("calendario", frozenset())), 2)
 
+    @on_mock_clock
+    async def test_lapsed_target_gets_nothing_from_the_end_of_its_time_on(self):
+        """A target that had left was sent requests until the next upkeep."""
+        registry = make_registry()
+        placement = make_placement(registry)
+        rest = entries_of(registry)[1:]
+        registry.take_entries(rest, may_have_lapsed=True)
+        calls = [make_call(ROUTE, str(n)) for n in range(200)]
+        await trio.sleep(LAPSE_GRACE_S)
+        self.assertEqual(len(registry.usable("calendario", frozenset())), 9)
+        chosen = {
+            placement.choose(call, CONFIGURATION, set(), VMS).entry.instance
+            for call in calls
+        }
+        self.assertNotIn("i-0", chosen)
+
     @on_mock_clock
     async def test_single_entry_that_goes_is_gone(self):
         registry = make_registry()
