Poll early enough that a change still reaches all VMs in time

The time between polls was the whole time in which a configuration must be in force. A change that only a poll brings, as every watch of the domain has gone silent, was in force on the polling VM after up to that time, and on VMs that are told of it 0.25 s and two answers later: 2.31 s in the test, of the 2 s allowed.

A poll now leaves 0.5 s for telling, or half of the time if that is less: 1.5 s between polls with 2 s allowed. One VM of each failure domain then sends a third more polls. tests.gateway.test_freshness test_change_that_only_a_poll_brings_reaches_others_in_time failed before (2.31 s not less than 2.0) and passes.

--- a/packages/gateway/plantainshed_gateway/freshness.py
+++ b/packages/gateway/plantainshed_gateway/freshness.py
@@ -18,11 +18,32 @@
 
 from .errors import HistoryGone, StoreUnavailable
 from .ports import Collection
-from .replication import FIRST_RETRY_S, KEPT_CHANGES, LONGEST_RETRY_S, Follower
+from .replication import (
+    FIRST_RETRY_S,
+    KEPT_CHANGES,
+    LONGEST_RETRY_S,
+    PEER_GRACE_S,
+    Follower,
+)
+
+# What is left of the time in which a change must be in force once a poll is due:
+# the poll's answer, and other VMs that wait for `PEER_GRACE_S` and fetch the change.
+TELL_S = 2 * PEER_GRACE_S
 
 IsOnDuty = Callable[[], bool]
 
 
+def poll_interval_s(in_force_within_s: float) -> float:
+    """Return the pause between polls that leaves time to tell other VMs.
+
+    Parameters
+    ----------
+    in_force_within_s : float
+        Time in which a change must be in force on all VMs, in seconds.
+    """
+    return max(in_force_within_s - TELL_S, in_force_within_s / 2)
+
+
 class Freshness:
     """Polls the store for what this VM's watches may have missed.
 
--- a/packages/gateway/plantainshed_gateway/gateway.py
+++ b/packages/gateway/plantainshed_gateway/gateway.py
@@ -14,7 +14,7 @@
 from .datagrams import Message
 from .errors import BadRequest, ItemExists, StoreUnavailable
 from .forwarding import Forwarder
-from .freshness import Freshness
+from .freshness import Freshness, poll_interval_s
 from .heartbeats import Heartbeat, VmState
 from .loans import Loans
 from .lookup import LookupTable
@@ -173,14 +173,14 @@
             self._nursery = self.messages.nursery = nursery
             for follower in self.followers.values():
                 nursery.start_soon(follower.run)
-            nursery.start_soon(self.freshness.run, self._confirm_within_s)
+            nursery.start_soon(self.freshness.run, self._poll_interval_s)
             nursery.start_soon(self.peers.send_heartbeats)
             nursery.start_soon(self.peers.receive)
             nursery.start_soon(self._know_vms)
             nursery.start_soon(self._upkeep)
 
-    def _confirm_within_s(self) -> float:
-        return self.context.settings.bounds.in_force_within_s
+    def _poll_interval_s(self) -> float:
+        return poll_interval_s(self.context.settings.bounds.in_force_within_s)
 
     def _on_change(self, collection: Collection):
         self.state_taker.take(collection)
--- a/tests/gateway/test_freshness.py
+++ b/tests/gateway/test_freshness.py
@@ -4,7 +4,7 @@
 import trio
 
 from plantainshed_gateway.errors import HistoryGone, StoreUnavailable
-from plantainshed_gateway.freshness import Freshness
+from plantainshed_gateway.freshness import Freshness, poll_interval_s
 from plantainshed_gateway.heartbeats import VmState
 from plantainshed_gateway.ports import Change, Changes, Collection, Item, Snapshot
 from plantainshed_gateway.replication import LONGEST_RETRY_S, Follower
@@ -120,6 +120,10 @@
         item = self.followers[collection].replica.items.get("main")
         return item and item.value
 
+    async def fetch(self, peer, collection, after):
+        await trio.sleep(ANSWER_S)
+        return self.followers[collection].replica.changes_since(after)
+
     async def seconds_until(self, collection: Collection, value) -> float:
         began_at = trio.current_time()
         while self.value(collection) != value:
@@ -128,12 +132,12 @@
 
 
 @contextlib.asynccontextmanager
-async def running_vm():
+async def running_vm(interval_s=INTERVAL_S):
     vm = FreshVm(RevisionedStore())
     async with trio.open_nursery() as nursery:
         for follower in vm.followers.values():
             nursery.start_soon(follower.run)
-        nursery.start_soon(vm.freshness.run, lambda: INTERVAL_S)
+        nursery.start_soon(vm.freshness.run, lambda: interval_s)
         await trio.sleep(10)
         yield vm
         nursery.cancel_scope.cancel()
@@ -194,6 +198,28 @@
             with trio.fail_after(INTERVAL_S + 3 * ANSWER_S):
                 await vm.seconds_until(Collection.TARGETS, "leaving")
 
+    @on_mock_clock
+    async def test_change_that_only_a_poll_brings_reaches_others_in_time(self):
+        """Callers of VMs that are told of it met the old version after 2 s."""
+        in_force_within_s = 2.0
+        configuration = Collection.CONFIGURATION
+        async with running_vm(poll_interval_s(in_force_within_s)) as vm:
+            other = Follower(vm.store, configuration, lambda c: None, NoLog())
+            other.replica.revision = vm.followers[configuration].replica.revision
+            vm.store.deaf = set(FOLLOWED)
+            for follower in vm.followers.values():
+                follower.restart_watch()
+            vm.store.polls.clear()
+            while configuration not in vm.store.polls:
+                await trio.sleep(0.01)
+            await trio.sleep(ANSWER_S)
+            began_at = trio.current_time()
+            vm.store.put(configuration, "newer")
+            await vm.seconds_until(configuration, "newer")
+            await other.catch_up("vm-0", vm.store.revision, vm.fetch)
+            self.assertEqual(other.replica.items["main"].value, "newer")
+            self.assertLess(trio.current_time() - began_at, in_force_within_s)
+
     @on_mock_clock
     async def test_polls_are_one_an_interval_while_watches_bring_all(self):
         """Polls of each collection would cost three times as many calls."""
