Ask a second peer for changes while the first gives no answer

While one peer was asked for a collection no other was, for 1.25 s where it does not answer: a VM that froze, or that can be reached by datagrams but not over TCP. Its heartbeats go on in the second case, so it was often asked again before a sound one, and callers met old routes, keys and targets for longer than the 2 s allowed.

A second peer is now asked when the first has had 0.25 s for its answer; at most two at a time, so that a large copy is not drawn over a narrow link by many questions. tests.gateway.test_state test_peer_that_does_not_answer_keeps_no_other_from_being_asked failed before (7 != 12 after 1 s) and passes.

--- a/packages/gateway/plantainshed_gateway/replication.py
+++ b/packages/gateway/plantainshed_gateway/replication.py
@@ -39,6 +39,8 @@
 # of other domains comes half a second after theirs; what is missing then was not
 # told by them.
 RESTING_GRACE_S = 0.5
+# Peers that are asked for one collection at a time.
+MOST_ASKED = 2
 # Time after a start in which the VMs of the own failure domain are heard, and it
 # is known whether others watch the store.
 SETTLE_S = 1.0
@@ -186,7 +188,8 @@
         self._is_settled = False
         self._watching: trio.CancelScope | None = None
         self._is_overtaken = False
-        self._taking = False
+        # Peers that are being asked, and when each is, or was, sent the question.
+        self._asked: dict[str, float] = {}
 
     async def run(self):
         """Follow the collection until cancelled."""
@@ -311,12 +314,12 @@
         have left, for as long as that lasts. What a peer knows came from the
         store, so taking it is as good as having heard it.
         """
-        if self._taking or self.replica.revision >= newest:
+        if self._is_answer_due(peer) or self.replica.revision >= newest:
             return
-        self._taking = True
         grace_s = PEER_GRACE_S
         if self.is_resting:
             grace_s = 0.0 if is_near else RESTING_GRACE_S
+        self._asked[peer] = trio.current_time() + grace_s
         try:
             await trio.sleep(grace_s)
             before = self.replica.revision
@@ -336,7 +339,17 @@
                 self.listener(self.collection)
             self.restart_watch()
         finally:
-            self._taking = False
+            del self._asked[peer]
+
+    def _is_answer_due(self, peer: str) -> bool:
+        """Tell whether to wait for those asked before this peer is asked too.
+
+        One that does not answer must not keep this VM from another that would.
+        """
+        if peer in self._asked or len(self._asked) >= MOST_ASKED:
+            return True
+        now = trio.current_time()
+        return any(now - asked_at < PEER_GRACE_S for asked_at in self._asked.values())
 
     def _take_told(self, told: Snapshot | Changes) -> bool:
         if isinstance(told, Snapshot):
--- a/tests/gateway/test_state.py
+++ b/tests/gateway/test_state.py
@@ -1,3 +1,4 @@
+import contextlib
 import unittest
 import zlib
 
@@ -123,6 +124,33 @@
             nursery.cancel_scope.cancel()
         self.assertEqual(len(changed), 2)
 
+    @on_mock_clock
+    async def test_peer_that_does_not_answer_keeps_no_other_from_being_asked(self):
+        """A change known to one peer came late while another peer was asked."""
+        follower = Follower(SilentStore(), Collection.TARGETS, lambda c: None, NoLog())
+        follower.replica.take_snapshot(Snapshot((), 7))
+        told = Changes((Change(Item("b", 12, "newer"), False),), 12)
+
+        async def fetch(peer, collection, after):
+            if peer == "frozen":
+                await trio.sleep(1.0)
+                raise StoreUnavailable("no answer")
+            return told
+
+        async def hear(peer):
+            while True:
+                with contextlib.suppress(StoreUnavailable):
+                    await follower.catch_up(peer, 12, fetch)
+                await trio.sleep(0.01)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(hear, "frozen")
+            await trio.sleep(0.01)
+            nursery.start_soon(hear, "sound")
+            await trio.sleep(1.0)
+            nursery.cancel_scope.cancel()
+        self.assertEqual(follower.replica.revision, 12)
+
     @on_mock_clock
     async def test_forgotten_history_is_read_anew(self):
         class Forgetful(SilentStore):
