Read a collection again if a pause fell into its reading

Two faults of the list that a VM reads after it stood still. A list that a poll, or a peer's changes, overtook was dropped and the copy stayed unconfirmed, so the VM refused callers for 1.5 s with a complete copy; polls make this likelier. And a list that was sent before the pause, and answered after it, counted as the one read after it: its flag was cleared when the answer came, so the VM served at once with a list from before.

The flag is now cleared before the call and set again if that fails; a copy is confirmed by any list that no pause fell into. tests.gateway.test_state test_list_overtaken_by_a_poll_confirms_the_copy and test_list_sent_before_a_pause_is_read_again_after_it failed before and pass.

--- a/packages/gateway/plantainshed_gateway/replication.py
+++ b/packages/gateway/plantainshed_gateway/replication.py
@@ -91,9 +91,10 @@
 
     def take_snapshot(self, snapshot: Snapshot) -> bool:
         """Replace the copy by a newer one; tell whether anything changed."""
+        # An overtaken one too: the copy is complete beyond what was read.
+        self.is_confirmed = True
         if snapshot.revision < self.revision:
             return False
-        self.is_confirmed = True
         items = {item.name: item for item in snapshot.items}
         changed = items != self.items or not self.is_known
         if set(self.items) - set(items):
@@ -195,7 +196,7 @@
         """Follow the collection until cancelled."""
         while True:
             try:
-                if self._must_list:
+                while self._must_list:
                     await self._list()
                 if self._is_covered and not self._is_settled:
                     await self._settle()
@@ -214,10 +215,17 @@
                 self._retry_s = min(LONGEST_RETRY_S, 2 * self._retry_s)
 
     async def _list(self):
-        snapshot = await self.store.list(self.collection)
         self._must_list = False
+        try:
+            snapshot = await self.store.list(self.collection)
+        except StoreUnavailable:
+            self._must_list = True
+            raise
         self.note_regained()
-        if self.replica.take_snapshot(snapshot):
+        is_changed = self.replica.take_snapshot(snapshot)
+        # Not if this process was paused meanwhile: the answer can be from before.
+        self.replica.is_confirmed = not self._must_list
+        if is_changed:
             self.listener(self.collection)
 
     async def _settle(self):
--- a/tests/gateway/test_state.py
+++ b/tests/gateway/test_state.py
@@ -64,6 +64,15 @@
         self.assertFalse(replica.take_changes(Changes((created,), 8)))
         self.assertEqual(replica.items, {})
 
+    @on_mock_clock
+    async def test_list_overtaken_by_a_poll_confirms_the_copy(self):
+        """A VM that had been paused refused callers though its copy was complete."""
+        replica = Replica(Collection.TARGETS, is_confirmed=False)
+        replica.take_changes(Changes((Change(Item("a", 8, {}), False),), 8))
+        replica.take_snapshot(Snapshot((), 7))
+        self.assertTrue(replica.is_confirmed)
+        self.assertEqual(set(replica.items), {"a"})
+
     @on_mock_clock
     async def test_tells_changes_since_a_revision_or_nothing(self):
         """A VM that asks for what it missed must get all of it or the whole.
@@ -151,6 +160,29 @@
             nursery.cancel_scope.cancel()
         self.assertEqual(follower.replica.revision, 12)
 
+    @on_mock_clock
+    async def test_list_sent_before_a_pause_is_read_again_after_it(self):
+        """A VM that woke served with a list that it had asked for before."""
+
+        class Slow(SilentStore):
+            async def list(self, collection):
+                self.lists += 1
+                revision = 6 + self.lists
+                await trio.sleep(0.2)
+                return Snapshot((), revision)
+
+        follower = Follower(Slow(), Collection.TARGETS, lambda c: None, NoLog())
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(follower.run)
+            await trio.sleep(0.1)
+            follower.list_again()
+            await trio.sleep(0.15)
+            self.assertFalse(follower.replica.is_confirmed)
+            await trio.sleep(0.2)
+            self.assertTrue(follower.replica.is_confirmed)
+            self.assertEqual(follower.replica.revision, 8)
+            nursery.cancel_scope.cancel()
+
     @on_mock_clock
     async def test_forgotten_history_is_read_anew(self):
         class Forgetful(SilentStore):
