Take a change that is told twice once

A poll beside a watch, or a second peer beside the first, brings changes that the copy has just taken. They were applied again: the watch that had just begun was ended and sent anew, a call of the store each, the lines 'changes found by a poll' and 'configuration not newer' said that something had been missed where nothing had, and the change stood twice among those kept for others.

Changes up to the revision that the copy already has only refresh its age. tests.gateway.test_state test_change_told_twice_counts_once failed before (True is not false) and passes. Found by reading; how often it happened was not counted.

--- a/packages/gateway/plantainshed_gateway/replication.py
+++ b/packages/gateway/plantainshed_gateway/replication.py
@@ -117,6 +117,8 @@
             # Overtaken on its way: an object deleted since would come back.
             return False
         self.heard_at = trio.current_time()
+        if changes.revision == self.revision:
+            return False
         changed = False
         for change in changes.changes:
             item = change.item
--- a/tests/gateway/test_state.py
+++ b/tests/gateway/test_state.py
@@ -64,6 +64,16 @@
         self.assertFalse(replica.take_changes(Changes((created,), 8)))
         self.assertEqual(replica.items, {})
 
+    @on_mock_clock
+    async def test_change_told_twice_counts_once(self):
+        """A poll beside a watch ended that watch and logged a change that was known."""
+        replica = Replica(Collection.TARGETS)
+        replica.take_snapshot(Snapshot((Item("a", 5, {}),), 7))
+        told = Changes((Change(Item("a", 8, {}), True),), 8)
+        self.assertTrue(replica.take_changes(told))
+        self.assertFalse(replica.take_changes(told))
+        self.assertEqual(len(replica.recent), 1)
+
     @on_mock_clock
     async def test_list_overtaken_by_a_poll_confirms_the_copy(self):
         """A VM that had been paused refused callers though its copy was complete."""
