Keep entries that ran out also where a peer hears the store first

Of two VMs that lost the store, the one that it answers first tells the other what changed, within 0.25 s. The other had not yet noted the store as back, so entries of targets that ran out in the outage counted there as targets that had truly left, and those of a pool with few targets were dropped at once though they lived.

While this VM does not hear from the store, entries that vanish count as lapsed. Their time is then shorter by the 0.25 s for which a peer's word waits, so that a target that truly left still gets nothing 2 s after the store said so. tests.gateway.test_state_taker test_entry_that_ran_out_is_kept_where_a_peer_hears_the_store_first failed before (1 != 2) and passes. The set-up of the older test in this file moved to a function, unchanged.

--- a/packages/gateway/plantainshed_gateway/registry.py
+++ b/packages/gateway/plantainshed_gateway/registry.py
@@ -161,7 +161,12 @@
         self.ramps_until = float("-inf")
         self._lapse_ends_at = inf
 
-    def take_entries(self, entries: list[TargetEntry], may_have_lapsed: bool):
+    def take_entries(
+        self,
+        entries: list[TargetEntry],
+        may_have_lapsed: bool,
+        told_after_s: float = 0.0,
+    ):
         """Take over the registered targets.
 
         Parameters
@@ -171,6 +176,8 @@
             Whether the store has just come back from an outage. Entries that
             ran out meanwhile are then missing though their targets live, and
             dropping them at once would leave pools empty for two seconds.
+        told_after_s : float
+            How much later than the store said so this VM may hear what vanished.
         """
         named = {entry.instance: entry for entry in entries}
         states = {
@@ -184,7 +191,8 @@
         ]
         for state in vanished:
             if may_have_lapsed or state.lapsed_at or self._are_many(state, vanished):
-                state.lapsed_at = state.lapsed_at or trio.current_time()
+                heard_at = trio.current_time() - told_after_s
+                state.lapsed_at = state.lapsed_at or heard_at
                 states[state.entry.instance] = state
         self.states = states
         self._is_first = False
--- a/packages/gateway/plantainshed_gateway/state_taker.py
+++ b/packages/gateway/plantainshed_gateway/state_taker.py
@@ -14,7 +14,7 @@
 from .model import Configuration
 from .ports import Collection, Decoder, TargetEntry
 from .registry import Registry
-from .replication import Follower
+from .replication import PEER_GRACE_S, Follower
 
 # How long after the store came back targets' entries may still be on their way
 # back; they are written again within two seconds.
@@ -115,7 +115,11 @@
         entries = self._decoded(Collection.TARGETS, self.decoder.target)
         before = {name: s.entry for name, s in self.registry.states.items()}
         since_back = trio.current_time() - follower.regained_at
-        self.registry.take_entries(entries, may_have_lapsed=since_back < LAPSE_S)
+        if follower.is_in_touch:
+            self.registry.take_entries(entries, may_have_lapsed=since_back < LAPSE_S)
+        else:
+            # A peer told it, and may have done so just after an outage for all.
+            self.registry.take_entries(entries, True, told_after_s=PEER_GRACE_S)
         self._log_targets(before, follower.replica.revision)
 
     def _log_targets(self, before: dict[str, TargetEntry], revision: int):
--- a/tests/gateway/test_state_taker.py
+++ b/tests/gateway/test_state_taker.py
@@ -1,21 +1,27 @@
 import unittest
 
+import trio
+
 from plantainshed_gateway.admission import Admission
 from plantainshed_gateway.ports import Collection, Item, Snapshot
 from plantainshed_gateway.quota import Quotas
 from plantainshed_gateway.registry import Registry
-from plantainshed_gateway.replication import Follower
+from plantainshed_gateway.replication import PEER_GRACE_S, Follower
 from plantainshed_gateway.state_taker import StateTaker
 from plantainshed_http.server import ConnectionLimits
 from tests.gateway.gateway_support import (
     BOUNDS,
     NoLog,
     make_configuration,
+    make_entry,
     make_members,
     make_round_trips,
 )
 from tests.support import on_mock_clock
 
+# A watch's answer to a peer, its word to others, and its answer to their question.
+ANSWERS_S = 0.1
+
 
 class VersionDecoder:
     """Takes an object's value for the version of a configuration."""
@@ -24,27 +30,49 @@
         return make_configuration(version=item.value)
 
 
+class NameDecoder:
+    """Takes an object's name for the instance of a target."""
+
+    def target(self, item: Item):
+        return make_entry(item.name)
+
+
+def make_taker(decoder, follower: Follower, log) -> StateTaker:
+    quotas = Quotas(make_members(), BOUNDS, make_round_trips())
+    followers = {follower.collection: follower}
+    admission = Admission(None, quotas, None)
+    registry = Registry({})
+    return StateTaker(decoder, followers, admission, registry, ConnectionLimits(), log)
+
+
 class TestStateTaker(unittest.TestCase):
     @on_mock_clock
     async def test_configuration_that_is_not_put_in_force_has_a_line(self):
         """A refused configuration looked like one that never came."""
         log = NoLog()
-        quotas = Quotas(make_members(), BOUNDS, make_round_trips())
-        admission = Admission(None, quotas, None)
         follower = Follower(None, Collection.CONFIGURATION, lambda c: None, log)
-        taker = StateTaker(
-            VersionDecoder(),
-            {Collection.CONFIGURATION: follower},
-            admission,
-            Registry({}),
-            ConnectionLimits(),
-            log,
-        )
+        taker = make_taker(VersionDecoder(), follower, log)
         for revision, version in ((5, 9), (6, 8)):
             items = (Item("main", revision, version),)
             follower.replica.take_snapshot(Snapshot(items, revision))
             taker.take(Collection.CONFIGURATION)
-        self.assertEqual(admission.configuration.version, 9)
+        self.assertEqual(taker.admission.configuration.version, 9)
         name, fields = log.events[-1]
         self.assertEqual(name, "configuration not newer")
         self.assertEqual((fields["version"], fields["version_in_force"]), (8, 9))
+
+    @on_mock_clock
+    async def test_entry_that_ran_out_is_kept_where_a_peer_hears_the_store_first(self):
+        """A VM dropped living targets that a peer told it of before the store did."""
+        log = NoLog()
+        follower = Follower(None, Collection.TARGETS, lambda c: None, log)
+        taker = make_taker(NameDecoder(), follower, log)
+        follower.note_regained()
+        follower.note_lost("no answer")
+        for revision, names in ((5, ("i-0", "i-1")), (6, ("i-1",))):
+            items = tuple(Item(name, 5, None) for name in names)
+            follower.replica.take_snapshot(Snapshot(items, revision))
+            taker.take(Collection.TARGETS)
+        self.assertEqual(len(taker.registry.usable("calendario", frozenset())), 2)
+        await trio.sleep(2.0 - PEER_GRACE_S - ANSWERS_S)
+        self.assertEqual(len(taker.registry.usable("calendario", frozenset())), 1)
