--- a/packages/gateway/plantainshed_gateway/freshness.py
+++ b/packages/gateway/plantainshed_gateway/freshness.py
@@ -18,11 +18,32 @@
 
 from .errors import HistoryGone, StoreUnavailable
 from .ports import Collection
-from .replication import FIRST_RETRY_S, KEPT_CHANGES, Follower
+from .replication import (
+    FIRST_RETRY_S,
+    KEPT_CHANGES,
+    LONGEST_RETRY_S,
+    PEER_GRACE_S,
+    Follower,
+)
+
+# What is left of the time in which a change must be in force once a poll is due:
+# the poll's answer, and other VMs that wait for `PEER_GRACE_S` and fetch the change.
+TELL_S = 2 * PEER_GRACE_S
 
 IsOnDuty = Callable[[], bool]
 
 
+def poll_interval_s(in_force_within_s: float) -> float:
+    """Return the pause between polls that leaves time to tell other VMs.
+
+    Parameters
+    ----------
+    in_force_within_s : float
+        Time in which a change must be in force on all VMs, in seconds.
+    """
+    return max(in_force_within_s - TELL_S, in_force_within_s / 2)
+
+
 class Freshness:
     """Polls the store for what this VM's watches may have missed.
 
@@ -53,21 +74,34 @@
         self.vm = vm
         self.confirmed_revision = 0
         self.is_lost = False
+        self._retry_s = FIRST_RETRY_S
 
     async def run(self, interval_s: Callable[[], float]):
         """Poll at each interval until cancelled."""
         await trio.sleep(interval_s() * unit_hash(self.vm, "freshness"))
         while True:
+            began_at = trio.current_time()
             if self._can_poll():
                 await self.check()
-            await trio.sleep(FIRST_RETRY_S if self.is_lost else interval_s())
+            await trio.sleep(self._pause_s(began_at, interval_s()))
 
     def _can_poll(self) -> bool:
+        # Off duty too, a lost store is polled until it answers: watches that were
+        # sent into its silence are sent again then.
         copies = [follower.replica for follower in self.followers.values()]
-        can_poll = self.is_on_duty() and all(copy.is_known for copy in copies)
-        if not can_poll:
-            self.is_lost = False
-        return can_poll
+        is_wanted = self.is_lost or self.is_on_duty()
+        return is_wanted and all(copy.is_known for copy in copies)
+
+    def _pause_s(self, began_at: float, interval_s: float) -> float:
+        if not self.is_lost:
+            self._retry_s = FIRST_RETRY_S
+            return interval_s
+        # An unanswered poll has taken its time already; one that was turned away
+        # at once has not, and the store may be turning away what is too much.
+        took_s = trio.current_time() - began_at
+        pause_s = max(FIRST_RETRY_S, self._retry_s - took_s)
+        self._retry_s = min(LONGEST_RETRY_S, 2 * self._retry_s)
+        return pause_s
 
     async def check(self):
         """Find out whether the copies are complete, and complete them."""
@@ -87,8 +121,14 @@
         newest = await self.followers[Collection.CONFIGURATION].poll()
         if self.is_lost or not self._knows_all_up_to(newest):
             await self._poll_others()
+            newest = min(newest, self._polled_up_to())
         return newest
 
+    def _polled_up_to(self) -> int:
+        # A part of the store that lags can answer one poll with an older revision
+        # than it answered another.
+        return min(f.replica.revision for f in self.followers.values())
+
     async def _poll_others(self):
         for collection, follower in self.followers.items():
             if collection is not Collection.CONFIGURATION:
--- a/packages/gateway/plantainshed_gateway/replication.py
+++ b/packages/gateway/plantainshed_gateway/replication.py
@@ -39,6 +39,8 @@
 # of other domains comes half a second after theirs; what is missing then was not
 # told by them.
 RESTING_GRACE_S = 0.5
+# Peers that are asked for one collection at a time.
+MOST_ASKED = 2
 # Time after a start in which the VMs of the own failure domain are heard, and it
 # is known whether others watch the store.
 SETTLE_S = 1.0
@@ -89,9 +91,10 @@
 
     def take_snapshot(self, snapshot: Snapshot) -> bool:
         """Replace the copy by a newer one; tell whether anything changed."""
+        # An overtaken one too: the copy is complete beyond what was read.
+        self.is_confirmed = True
         if snapshot.revision < self.revision:
             return False
-        self.is_confirmed = True
         items = {item.name: item for item in snapshot.items}
         changed = items != self.items or not self.is_known
         if set(self.items) - set(items):
@@ -114,6 +117,8 @@
             # Overtaken on its way: an object deleted since would come back.
             return False
         self.heard_at = trio.current_time()
+        if changes.revision == self.revision:
+            return False
         changed = False
         for change in changes.changes:
             item = change.item
@@ -186,13 +191,14 @@
         self._is_settled = False
         self._watching: trio.CancelScope | None = None
         self._is_overtaken = False
-        self._taking = False
+        # Peers that are being asked, and when each is, or was, sent the question.
+        self._asked: dict[str, float] = {}
 
     async def run(self):
         """Follow the collection until cancelled."""
         while True:
             try:
-                if self._must_list:
+                while self._must_list:
                     await self._list()
                 if self._is_covered and not self._is_settled:
                     await self._settle()
@@ -211,10 +217,17 @@
                 self._retry_s = min(LONGEST_RETRY_S, 2 * self._retry_s)
 
     async def _list(self):
-        snapshot = await self.store.list(self.collection)
         self._must_list = False
+        try:
+            snapshot = await self.store.list(self.collection)
+        except StoreUnavailable:
+            self._must_list = True
+            raise
         self.note_regained()
-        if self.replica.take_snapshot(snapshot):
+        is_changed = self.replica.take_snapshot(snapshot)
+        # Not if this process was paused meanwhile: the answer can be from before.
+        self.replica.is_confirmed = not self._must_list
+        if is_changed:
             self.listener(self.collection)
 
     async def _settle(self):
@@ -257,6 +270,7 @@
         """
         before = self.replica.revision
         changes = await self.store.watch(self.collection, before, 0.0)
+        self.note_regained()
         if self.replica.take_changes(changes):
             self.log.event(
                 "changes found by a poll",
@@ -311,12 +325,12 @@
         have left, for as long as that lasts. What a peer knows came from the
         store, so taking it is as good as having heard it.
         """
-        if self._taking or self.replica.revision >= newest:
+        if self._is_answer_due(peer) or self.replica.revision >= newest:
             return
-        self._taking = True
         grace_s = PEER_GRACE_S
         if self.is_resting:
             grace_s = 0.0 if is_near else RESTING_GRACE_S
+        self._asked[peer] = trio.current_time() + grace_s
         try:
             await trio.sleep(grace_s)
             before = self.replica.revision
@@ -336,7 +350,17 @@
                 self.listener(self.collection)
             self.restart_watch()
         finally:
-            self._taking = False
+            del self._asked[peer]
+
+    def _is_answer_due(self, peer: str) -> bool:
+        """Tell whether to wait for those asked before this peer is asked too.
+
+        One that does not answer must not keep this VM from another that would.
+        """
+        if peer in self._asked or len(self._asked) >= MOST_ASKED:
+            return True
+        now = trio.current_time()
+        return any(now - asked_at < PEER_GRACE_S for asked_at in self._asked.values())
 
     def _take_told(self, told: Snapshot | Changes) -> bool:
         if isinstance(told, Snapshot):
--- a/tests/gateway/test_freshness.py
+++ b/tests/gateway/test_freshness.py
@@ -4,10 +4,10 @@
 import trio
 
 from plantainshed_gateway.errors import HistoryGone, StoreUnavailable
-from plantainshed_gateway.freshness import Freshness
+from plantainshed_gateway.freshness import Freshness, poll_interval_s
 from plantainshed_gateway.heartbeats import VmState
 from plantainshed_gateway.ports import Change, Changes, Collection, Item, Snapshot
-from plantainshed_gateway.replication import Follower
+from plantainshed_gateway.replication import LONGEST_RETRY_S, Follower
 from plantainshed_gateway.speakers import Speakers
 from tests.gateway.gateway_support import NoLog, make_heartbeat, make_members
 from tests.support import on_mock_clock
@@ -25,10 +25,14 @@
     ----------
     is_silent : bool
         Whether calls that begin now are never answered.
+    is_refusing : bool
+        Whether calls that begin now are turned away at once.
     deaf : set of Collection
         Collections whose waiting watches are never answered.
     oldest : int
         Changes up to this revision are forgotten.
+    lagging_at : dict of Collection to int
+        Revision up to which polls of a collection are answered, if not to the newest.
     """
 
     def __init__(self):
@@ -36,8 +40,10 @@
         self.history: list[tuple[Collection, Change]] = []
         self.changed = trio.Event()
         self.is_silent = False
+        self.is_refusing = False
         self.deaf: set[Collection] = set()
         self.oldest = 0
+        self.lagging_at: dict[Collection, int] = {}
         self.polls: list[Collection] = []
         self.lists: list[Collection] = []
 
@@ -68,11 +74,18 @@
             raise StoreUnavailable("no answer")
         if revision < self.oldest:
             raise HistoryGone("gone")
+        if not wait_s and collection in self.lagging_at:
+            return self._as_of(collection, revision, self.lagging_at[collection])
         with trio.move_on_after(wait_s):
             while not self._since(collection, revision):
                 await self.changed.wait()
         return Changes(self._since(collection, revision), self.revision)
 
+    def _as_of(self, collection, revision, newest):
+        since = self._since(collection, revision)
+        known = tuple(change for change in since if change.item.revision <= newest)
+        return Changes(known, newest)
+
     def _since(self, collection, revision):
         return tuple(
             change
@@ -81,6 +94,9 @@
         )
 
     async def _answer(self, wait_s=0.0):
+        if self.is_refusing:
+            await trio.sleep(ANSWER_S)
+            raise StoreUnavailable("turned away")
         if self.is_silent:
             await trio.sleep(wait_s + CALL_TIMEOUT_S)
             raise StoreUnavailable("no answer")
@@ -104,6 +120,10 @@
         item = self.followers[collection].replica.items.get("main")
         return item and item.value
 
+    async def fetch(self, peer, collection, after):
+        await trio.sleep(ANSWER_S)
+        return self.followers[collection].replica.changes_since(after)
+
     async def seconds_until(self, collection: Collection, value) -> float:
         began_at = trio.current_time()
         while self.value(collection) != value:
@@ -112,12 +132,12 @@
 
 
 @contextlib.asynccontextmanager
-async def running_vm():
+async def running_vm(interval_s=INTERVAL_S):
     vm = FreshVm(RevisionedStore())
     async with trio.open_nursery() as nursery:
         for follower in vm.followers.values():
             nursery.start_soon(follower.run)
-        nursery.start_soon(vm.freshness.run, lambda: INTERVAL_S)
+        nursery.start_soon(vm.freshness.run, lambda: interval_s)
         await trio.sleep(10)
         yield vm
         nursery.cancel_scope.cancel()
@@ -151,6 +171,24 @@
             seconds = await vm.seconds_until(Collection.TARGETS, "second")
             self.assertLess(seconds, 3 * ANSWER_S)
 
+    @on_mock_clock
+    async def test_change_that_ends_a_silence_is_taken_as_one_after_it(self):
+        """Targets whose entries ran out in a silence were dropped though they live."""
+        async with running_vm() as vm:
+            follower, ages_s = vm.followers[Collection.TARGETS], []
+            follower.listener = lambda collection: ages_s.append(
+                trio.current_time() - follower.regained_at
+            )
+            vm.store.put(Collection.CONFIGURATION, "last before")
+            for collection in FOLLOWED:
+                vm.followers[collection].restart_watch()
+            vm.store.is_silent = True
+            await trio.sleep(6)
+            vm.store.put(Collection.TARGETS, "ran out", is_deleted=True)
+            vm.store.is_silent = False
+            await trio.sleep(CALL_TIMEOUT_S + 0.5)
+            self.assertLess(ages_s[0], 3 * ANSWER_S)
+
     @on_mock_clock
     async def test_one_silent_watch_is_noticed_by_the_revision_of_another(self):
         """A target's leaving was unknown though the store answered all else."""
@@ -163,6 +201,43 @@
             seconds = await vm.seconds_until(Collection.TARGETS, "leaving")
             self.assertLess(seconds, INTERVAL_S + 3 * ANSWER_S)
 
+    @on_mock_clock
+    async def test_poll_answered_late_by_the_store_loses_no_change(self):
+        """A copy marked complete past a change never asked for it again."""
+        async with running_vm() as vm:
+            vm.store.deaf = {Collection.TARGETS}
+            vm.followers[Collection.TARGETS].restart_watch()
+            await trio.sleep(1)
+            vm.store.lagging_at = {Collection.TARGETS: vm.store.revision}
+            vm.store.put(Collection.TARGETS, "leaving")
+            vm.store.put(Collection.CONFIGURATION, "known")
+            await trio.sleep(INTERVAL_S + 3 * ANSWER_S)
+            vm.store.lagging_at = {}
+            with trio.fail_after(INTERVAL_S + 3 * ANSWER_S):
+                await vm.seconds_until(Collection.TARGETS, "leaving")
+
+    @on_mock_clock
+    async def test_change_that_only_a_poll_brings_reaches_others_in_time(self):
+        """Callers of VMs that are told of it met the old version after 2 s."""
+        in_force_within_s = 2.0
+        configuration = Collection.CONFIGURATION
+        async with running_vm(poll_interval_s(in_force_within_s)) as vm:
+            other = Follower(vm.store, configuration, lambda c: None, NoLog())
+            other.replica.revision = vm.followers[configuration].replica.revision
+            vm.store.deaf = set(FOLLOWED)
+            for follower in vm.followers.values():
+                follower.restart_watch()
+            vm.store.polls.clear()
+            while configuration not in vm.store.polls:
+                await trio.sleep(0.01)
+            await trio.sleep(ANSWER_S)
+            began_at = trio.current_time()
+            vm.store.put(configuration, "newer")
+            await vm.seconds_until(configuration, "newer")
+            await other.catch_up("vm-0", vm.store.revision, vm.fetch)
+            self.assertEqual(other.replica.items["main"].value, "newer")
+            self.assertLess(trio.current_time() - began_at, in_force_within_s)
+
     @on_mock_clock
     async def test_polls_are_one_an_interval_while_watches_bring_all(self):
         """Polls of each collection would cost three times as many calls."""
@@ -198,6 +273,35 @@
             await trio.sleep(CALL_TIMEOUT_S + 0.5)
             self.assertTrue(vm.followers[Collection.CONFIGURATION].is_in_touch)
 
+    @on_mock_clock
+    async def test_polls_that_are_turned_away_become_rarer(self):
+        """Polls kept a store that turns away what is too much busy, ten a second."""
+        async with running_vm() as vm:
+            vm.store.is_refusing = True
+            await trio.sleep(INTERVAL_S + 2 * LONGEST_RETRY_S)
+            vm.store.polls.clear()
+            await trio.sleep(20)
+            self.assertLessEqual(len(vm.store.polls), 20 / LONGEST_RETRY_S)
+            vm.store.is_refusing = False
+            await trio.sleep(LONGEST_RETRY_S + 0.2)
+            self.assertFalse(vm.freshness.is_lost)
+
+    @on_mock_clock
+    async def test_vm_that_goes_off_duty_in_a_silence_sends_its_watches_again(self):
+        """A VM whose watches went silent counted as cut off for 20 s more."""
+        async with running_vm() as vm:
+            vm.store.put(Collection.TARGETS, "first")
+            vm.store.is_silent = True
+            await trio.sleep(5)
+            vm.is_on_duty = False
+            await trio.sleep(2)
+            vm.store.is_silent = False
+            await trio.sleep(CALL_TIMEOUT_S + 0.5)
+            self.assertTrue(vm.followers[Collection.TARGETS].is_in_touch)
+            vm.store.put(Collection.TARGETS, "second")
+            seconds = await vm.seconds_until(Collection.TARGETS, "second")
+            self.assertLess(seconds, 3 * ANSWER_S)
+
     @on_mock_clock
     async def test_vm_off_duty_sends_no_polls(self):
         """Polls of every VM would grow with the fleet."""
--- a/tests/gateway/test_state.py
+++ b/tests/gateway/test_state.py
@@ -1,3 +1,4 @@
+import contextlib
 import unittest
 import zlib
 
@@ -63,6 +64,25 @@
         self.assertFalse(replica.take_changes(Changes((created,), 8)))
         self.assertEqual(replica.items, {})
 
+    @on_mock_clock
+    async def test_change_told_twice_counts_once(self):
+        """A poll beside a watch ended that watch and logged a change that was known."""
+        replica = Replica(Collection.TARGETS)
+        replica.take_snapshot(Snapshot((Item("a", 5, {}),), 7))
+        told = Changes((Change(Item("a", 8, {}), True),), 8)
+        self.assertTrue(replica.take_changes(told))
+        self.assertFalse(replica.take_changes(told))
+        self.assertEqual(len(replica.recent), 1)
+
+    @on_mock_clock
+    async def test_list_overtaken_by_a_poll_confirms_the_copy(self):
+        """A VM that had been paused refused callers though its copy was complete."""
+        replica = Replica(Collection.TARGETS, is_confirmed=False)
+        replica.take_changes(Changes((Change(Item("a", 8, {}), False),), 8))
+        replica.take_snapshot(Snapshot((), 7))
+        self.assertTrue(replica.is_confirmed)
+        self.assertEqual(set(replica.items), {"a"})
+
     @on_mock_clock
     async def test_tells_changes_since_a_revision_or_nothing(self):
         """A VM that asks for what it missed must get all of it or the whole.
@@ -123,6 +143,56 @@
             nursery.cancel_scope.cancel()
         self.assertEqual(len(changed), 2)
 
+    @on_mock_clock
+    async def test_peer_that_does_not_answer_keeps_no_other_from_being_asked(self):
+        """A change known to one peer came late while another peer was asked."""
+        follower = Follower(SilentStore(), Collection.TARGETS, lambda c: None, NoLog())
+        follower.replica.take_snapshot(Snapshot((), 7))
+        told = Changes((Change(Item("b", 12, "newer"), False),), 12)
+
+        async def fetch(peer, collection, after):
+            if peer == "frozen":
+                await trio.sleep(1.0)
+                raise StoreUnavailable("no answer")
+            return told
+
+        async def hear(peer):
+            while True:
+                with contextlib.suppress(StoreUnavailable):
+                    await follower.catch_up(peer, 12, fetch)
+                await trio.sleep(0.01)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(hear, "frozen")
+            await trio.sleep(0.01)
+            nursery.start_soon(hear, "sound")
+            await trio.sleep(1.0)
+            nursery.cancel_scope.cancel()
+        self.assertEqual(follower.replica.revision, 12)
+
+    @on_mock_clock
+    async def test_list_sent_before_a_pause_is_read_again_after_it(self):
+        """A VM that woke served with a list that it had asked for before."""
+
+        class Slow(SilentStore):
+            async def list(self, collection):
+                self.lists += 1
+                revision = 6 + self.lists
+                await trio.sleep(0.2)
+                return Snapshot((), revision)
+
+        follower = Follower(Slow(), Collection.TARGETS, lambda c: None, NoLog())
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(follower.run)
+            await trio.sleep(0.1)
+            follower.list_again()
+            await trio.sleep(0.15)
+            self.assertFalse(follower.replica.is_confirmed)
+            await trio.sleep(0.2)
+            self.assertTrue(follower.replica.is_confirmed)
+            self.assertEqual(follower.replica.revision, 8)
+            nursery.cancel_scope.cancel()
+
     @on_mock_clock
     async def test_forgotten_history_is_read_anew(self):
         class Forgetful(SilentStore):
