--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,11 @@
 # What `make experiment` plays.
 FILE ?= examples/experiments/far-regions.ini
 
-.PHONY: run test lint format bench measure capacity experiment soak
+# What `make model` plays; OPTIONS="--seed 7" replays one.
+LIMITS ?= examples/experiments/limits.ini
+OPTIONS ?=
+
+.PHONY: run test lint format bench measure capacity experiment model soak
 
 run: .venv/installed
 	$(BIN)/plantainshed demo --deployment=$(DEPLOYMENT)
@@ -45,6 +49,9 @@
 experiment: .venv/installed
 	$(BIN)/python -m plantainshed_measure.experiment --file=$(FILE)
 
+model: .venv/installed
+	$(BIN)/python -m plantainshed_measure.limits_search --file=$(LIMITS) $(OPTIONS)
+
 traces: .venv/installed
 	$(BIN)/python -m plantainshed_measure.make_traces
 
--- a/packages/gateway/plantainshed_gateway/admission.py
+++ b/packages/gateway/plantainshed_gateway/admission.py
@@ -65,7 +65,7 @@
             pool=self.splitter.choose(route, object_key),
             began_at=began_at,
         )
-        await self._take_quota(call)
+        await self.take_quota(call.workspace)
         return call
 
     def _known_configuration(self) -> Configuration:
@@ -87,20 +87,21 @@
                 HTTPStatus.BAD_REQUEST, Reason.BAD_REQUEST, str(error)
             ) from error
 
-    async def _take_quota(self, call: Call):
-        if call.workspace is None:
+    async def take_quota(self, workspace: Workspace | None):
+        """Take one request from a workspace's quota, or raise `Refusal`."""
+        if workspace is None:
             return
-        wait_s = self.quotas.admit(call.workspace)
+        wait_s = self.quotas.admit(workspace)
         if wait_s is not None:
-            await self.loans.borrow(call.workspace)
-            wait_s = self.quotas.take(call.workspace)
+            await self.loans.borrow(workspace)
+            wait_s = self.quotas.take(workspace)
         if wait_s is None:
-            await self.loans.fetch_ahead(call.workspace)
+            await self.loans.fetch_ahead(workspace)
         else:
             raise Refusal(
                 HTTPStatus.TOO_MANY_REQUESTS,
                 Reason.OVER_QUOTA,
-                f"workspace {call.workspace.name} is over its rate",
+                f"workspace {workspace.name} is over its rate",
                 wait_s,
             )
 
--- a/packages/gateway/plantainshed_gateway/peers.py
+++ b/packages/gateway/plantainshed_gateway/peers.py
@@ -58,6 +58,11 @@
     on_message : callable
         Awaited with each message and the IP address that it came from.
     log : DecisionLog
+
+    Attributes
+    ----------
+    socket : socket.socket or None
+        Bound while `open` is entered.
     """
 
     def __init__(
@@ -79,7 +84,7 @@
         self.log = log
         self.seeds: set[str] = set()
         self._alive: set[str] = set()
-        self._socket: socket.socket | None = None
+        self.socket: socket.socket | None = None
 
     @contextlib.asynccontextmanager
     async def open(self):
@@ -90,7 +95,7 @@
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
             sock.setblocking(False)
             sock.bind((self.ip, self.port))
-            self._socket = sock
+            self.socket = sock
             yield self
 
     async def send_heartbeats(self):
@@ -131,7 +136,7 @@
 
     def _send(self, data: bytes, ip: str):
         try:
-            self._socket.sendto(data, (ip, self.port))
+            self.socket.sendto(data, (ip, self.port))
         except OSError as error:
             # No route, no listener or a full link; the next may get through.
             self.log.event("datagram not sent", to=ip, problem=str(error))
@@ -139,20 +144,24 @@
     async def receive(self):
         """Take in messages until cancelled."""
         while True:
-            await trio.lowlevel.wait_readable(self._socket)
+            await trio.lowlevel.wait_readable(self.socket)
             for data, ip in self._at_hand():
-                try:
-                    message = decode(data)
-                except ValueError as error:
-                    self.log.event("datagram not understood", ip=ip, problem=str(error))
-                    continue
-                await self.on_message(message, ip)
+                await self.take(data, ip)
+
+    async def take(self, data: bytes, ip: str):
+        """Act on one datagram; `ip` is its sender's."""
+        try:
+            message = decode(data)
+        except ValueError as error:
+            self.log.event("datagram not understood", ip=ip, problem=str(error))
+            return
+        await self.on_message(message, ip)
 
     def _at_hand(self) -> Iterator[tuple[bytes, str]]:
         """Yield the datagrams that have arrived, and who sent each."""
         for _ in range(MOST_AT_ONCE):
             try:
-                data, (ip, _) = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
+                data, (ip, _) = self.socket.recvfrom(MAX_DATAGRAM_BYTES)
             except BlockingIOError:
                 return
             except OSError as error:
