Search limits with targets away and the store away; a quota broken by returned tokens

Plays with no target take each token, look for a target for up to 1.2 s and give the token back. Mixed faults mostly overlap now, and faults begin from 0.3 s on.

--- a/packages/measure/plantainshed_measure/limits_checks.py
+++ b/packages/measure/plantainshed_measure/limits_checks.py
@@ -34,12 +34,15 @@
     waited_s : float
         What the VM took to decide.
     is_admitted : bool
+    has_run : bool
+        Whether a target took it.
     """
 
     sent_at: float
     done_at: float
     waited_s: float
     is_admitted: bool
+    has_run: bool = True
 
 
 @define
@@ -105,7 +108,9 @@
 
 def fullest_window(record: Record, bounds: Bounds, name: str) -> Window | None:
     """Return a workspace's window that used most of its tolerance."""
-    admitted = sorted(one.done_at for one in record.asked[name] if one.is_admitted)
+    admitted = sorted(
+        one.done_at for one in record.asked[name] if one.is_admitted and one.has_run
+    )
     fullest = None
     first = 0
     for index, at in enumerate(admitted):
--- a/packages/measure/plantainshed_measure/limits_faults.py
+++ b/packages/measure/plantainshed_measure/limits_faults.py
@@ -6,7 +6,7 @@
 from enum import StrEnum
 
 import trio
-from attrs import frozen
+from attrs import evolve, frozen
 
 from .limits_checks import Period
 from .limits_demand import HOT
@@ -15,12 +15,16 @@
 # Time after a fault in which VMs hear of each other again and shares move.
 HEALING_S = 8.0
 # Time that a fleet has before the first fault.
-WARM_S = 1.0
+WARM_S = 0.3
 LENGTHS_S = (1.0, 14.0)
 SHORT_S = (0.3, 5.0)
 QUOTA_FACTORS = (0.3, 0.5, 1.5, 3.0)
 # Time between a VM's word that it leaves and its end.
 LEAVING_S = 2.0
+# Longest time that a VM looks for a target before it gives a request up.
+ROUTE_TIMEOUT_S = 1.2
+# Part of a mix's faults that do not begin while the first goes on.
+APART_PART = 0.3
 
 
 class Kind(StrEnum):
@@ -35,6 +39,8 @@
     JOINING = "joining"
     QUOTA = "quota"
     ALL_OFF = "all-off"
+    STORE = "store"
+    TARGETS = "targets"
     MIXED = "mixed"
 
 
@@ -75,7 +81,19 @@
         return [_draw(kind, rng, places, seconds)]
     kinds = [one for one in _FAULTS if one is not Kind.ALL_OFF]
     count = rng.choice((2, 2, 3, 4))
-    return [_draw(rng.choice(kinds), rng, places, seconds) for _ in range(count)]
+    first, *others = [
+        _draw(rng.choice(kinds), rng, places, seconds) for _ in range(count)
+    ]
+    return [first, *(_moved(fault, first, rng) for fault in others)]
+
+
+def _moved(fault: Fault, first: Fault, rng: random.Random) -> Fault:
+    """Return a fault that mostly begins while the first goes on."""
+    if rng.random() < APART_PART:
+        return fault
+    starts_at = rng.uniform(first.starts_at, first.ends_at)
+    ends_at = starts_at + fault.ends_at - fault.starts_at
+    return evolve(fault, starts_at=starts_at, ends_at=ends_at)
 
 
 def _draw(kind: Kind, rng: random.Random, places: list[Place], seconds: float) -> Fault:
@@ -213,6 +231,22 @@
     fleet.change_quota(HOT, before.rate_per_s, before.burst)
 
 
+@contextlib.asynccontextmanager
+async def _store(fleet: ModelFleet, fault: Fault):
+    """Let the store answer nobody."""
+    fleet.is_store_away = True
+    yield
+    fleet.is_store_away = False
+
+
+@contextlib.asynccontextmanager
+async def _targets(fleet: ModelFleet, fault: Fault):
+    """Let no target take a request, so that VMs give tokens back."""
+    fleet.looks_s = fault.choice * ROUTE_TIMEOUT_S
+    yield
+    fleet.looks_s = None
+
+
 _FAULTS = {
     Kind.ISOLATED: _isolated,
     Kind.SPLIT: _split,
@@ -222,4 +256,6 @@
     Kind.JOINING: _joining,
     Kind.QUOTA: _quota,
     Kind.ALL_OFF: _all_off,
+    Kind.STORE: _store,
+    Kind.TARGETS: _targets,
 }
--- a/packages/measure/plantainshed_measure/limits_model.py
+++ b/packages/measure/plantainshed_measure/limits_model.py
@@ -150,14 +150,19 @@
         """Admit one request or refuse it."""
         await self.is_thawed.wait()
         began_at = trio.current_time()
+        workspace = self.workspaces[name]
         is_admitted = True
         try:
-            await self.admission.take_quota(self.workspaces[name])
+            await self.admission.take_quota(workspace)
         except Refusal:
             is_admitted = False
         now = trio.current_time()
-        asked = Asked(sent_at, now, now - began_at, is_admitted)
+        looks_s = self.fleet.looks_s if is_admitted else None
+        asked = Asked(sent_at, now, now - began_at, is_admitted, looks_s is None)
         self.fleet.record.asked[name].append(asked)
+        if looks_s is not None:
+            await trio.sleep(looks_s)
+            self.quotas.give_back(workspace)
 
     def take_workspace(self, workspace: Workspace):
         """Put a workspace's quota in force."""
@@ -260,6 +265,8 @@
     workspaces : dict of str to Workspace
         The newest configuration.
     is_store_away : bool
+    looks_s : float or None
+        While no target takes a request: how long VMs look for one.
     """
 
     bounds: Bounds
@@ -274,6 +281,7 @@
     region_of: dict[str, str] = field(factory=dict)
     seeds: tuple[str, ...] = ()
     is_store_away: bool = False
+    looks_s: float | None = None
     nursery: trio.Nursery | None = None
     incarnation: int = 0
 
--- a/packages/measure/plantainshed_measure/limits_search.py
+++ b/packages/measure/plantainshed_measure/limits_search.py
@@ -10,6 +10,7 @@
 import random
 import time
 from collections import Counter
+from collections.abc import Iterator
 from concurrent.futures import ProcessPoolExecutor
 from enum import IntEnum
 from pathlib import Path
@@ -110,6 +111,11 @@
     refused: Counter
     requests: int
 
+    @property
+    def over(self) -> list[Window]:
+        """The windows that break the rule, one a workspace at most."""
+        return [window for window in self.windows if window.is_over]
+
     @property
     def fullest(self) -> Window:
         """The fullest of all workspaces' windows."""
@@ -143,14 +149,14 @@
     numbers = [seed] if seed is not None else _seeds(seeds) if seeds else limits.seeds
     cases = [draw_case(limits, number, kind, size, distance) for number in numbers]
     began_at = time.monotonic()
-    plays = play_all(limits, cases, jobs)
+    plays = []
+    for played in play_all(limits, cases, jobs):
+        plays.append(played)
+        _print_over(played)
     _print_table(plays)
     print(f"{len(plays)} plays in {time.monotonic() - began_at:.0f} s")
-    over = [(played, window) for played in plays for window in played.windows]
-    over = [(played, window) for played, window in over if window.is_over]
-    for played, window in over:
-        _print_over(played, window)
-    raise SystemExit(Exit.OVER if over else Exit.KEPT)
+    is_over = any(played.over for played in plays)
+    raise SystemExit(Exit.OVER if is_over else Exit.KEPT)
 
 
 def read_limits(path: Path) -> Limits:
@@ -211,12 +217,13 @@
     )
 
 
-def play_all(limits: Limits, cases: list[Case], jobs: int) -> list[Played]:
-    """Play cases, several at a time."""
+def play_all(limits: Limits, cases: list[Case], jobs: int) -> Iterator[Played]:
+    """Play cases, several at a time, and yield what each showed."""
     if jobs == 1 or len(cases) == 1:
-        return [play(limits, case) for case in cases]
+        yield from (play(limits, case) for case in cases)
+        return
     with ProcessPoolExecutor(jobs) as pool:
-        return list(pool.map(play, itertools.repeat(limits), cases, chunksize=4))
+        yield from pool.map(play, itertools.repeat(limits), cases, chunksize=4)
 
 
 def play(limits: Limits, case: Case, alter=lambda vm: None) -> Played:
@@ -363,12 +370,13 @@
     groups: dict[tuple, list[Played]] = {}
     for played in plays:
         groups.setdefault((played.case.distance, played.case.kind), []).append(played)
-    names = ("distance", "fault", "plays", "over", "used", *Period)
+    names = ("distance", "fault", "plays", "over", "used", "by seed", *Period)
     print("  ".join(name.rjust(9) for name in names))
     for (distance, kind), of_group in sorted(groups.items()):
-        over = sum(window.is_over for one in of_group for window in one.windows)
-        used = max(one.fullest.used for one in of_group)
-        row = [distance, kind.value, len(of_group), over, f"{used:.3f}"]
+        over = sum(len(one.over) for one in of_group)
+        most = max(of_group, key=lambda played: played.fullest.used)
+        used = f"{most.fullest.used:.3f}"
+        row = [distance, kind.value, len(of_group), over, used, most.case.seed]
         row += [_share(of_group, period) for period in Period]
         print("  ".join(str(cell).rjust(9) for cell in row))
 
@@ -379,14 +387,16 @@
     return f"{refused / owed:.4f}" if owed else "-"
 
 
-def _print_over(played: Played, window: Window):
+def _print_over(played: Played):
     case = played.case
-    print(
-        f"OVER: --seed {case.seed} --size {case.size} --distance {case.distance}"
-        f" --kind {case.kind}: {window.workspace} let {window.count} through where"
-        f" {window.bound:.1f} are allowed, in the window that ends at"
-        f" {window.ends_at:.3f}"
-    )
+    for window in played.over:
+        print(
+            f"OVER: --seed {case.seed} --size {case.size} --distance {case.distance}"
+            f" --kind {case.kind}: {window.workspace} let {window.count} through where"
+            f" {window.bound:.1f} are allowed, in the window that ends at"
+            f" {window.ends_at:.3f} s",
+            flush=True,
+        )
 
 
 if __name__ == "__main__":
--- a/tests/measure/test_limits_model.py
+++ b/tests/measure/test_limits_model.py
@@ -62,6 +62,18 @@
         self.assertTrue(play(limits, case, spoil).fullest.is_over)
 
 
+class TestFoundBySearch(unittest.TestCase):
+    def play(self, seed, kind, distance):
+        limits = read_limits(EXAMPLE)
+        return play(limits, draw_case(limits, seed, kind, 9, distance))
+
+    @unittest.expectedFailure
+    def test_returned_tokens_lift_no_window_over_its_bound(self):
+        """Guards against tokens of unrun requests beside those filled meanwhile."""
+        played = self.play(4008, Kind.TARGETS, "12ms")
+        self.assertFalse(played.fullest.is_over, played)
+
+
 class TestChecks(unittest.TestCase):
     def test_windows_slide(self):
         """Guards against windows that begin at whole multiples of their length."""
