Reproduce tokens that stay at VMs whose callers have moved away

Callers of a workspace move from VM to VM, 8 s each, at a sixth of the rate, then send 60 requests a second everywhere.

--- /dev/null
+++ b/tests/gateway/test_quota_bounds.py
@@ -0,0 +1,38 @@
+import unittest
+
+import trio
+
+from plantainshed_gateway.model import Workspace
+from tests.gateway.linked_fleet import LinkedFleet
+from tests.support import on_mock_clock
+
+DOMAINS = {"be-a": 2, "nl-a": 2, "fr-a": 2, "be-b": 1, "nl-b": 1, "fr-b": 1}
+
+
+def of_rate(rate_per_s: float) -> Workspace:
+    return Workspace("comune", rate_per_s=rate_per_s, burst=rate_per_s)
+
+
+async def played(story, workspace: Workspace, domains=DOMAINS, seed=1) -> LinkedFleet:
+    """Play a story on a fleet; return it."""
+    async with trio.open_nursery() as nursery:
+        fleet = LinkedFleet(domains, workspace, nursery, seed=seed)
+        await story(fleet)
+        nursery.cancel_scope.cancel()
+    return fleet
+
+
+class TestCallersThatMove(unittest.TestCase):
+    @unittest.expectedFailure
+    @on_mock_clock
+    async def test_tokens_of_former_shares_do_not_add_up(self):
+        """Guards against tokens that stay at VMs whose callers have moved away."""
+
+        async def move_then_overload(fleet):
+            for ip in fleet.vms:
+                await fleet.play(8, fleet.workspace.rate_per_s / 6, [ip])
+            await fleet.play(6, 60)
+
+        for rate_per_s in (2.0, 6.0):
+            fleet = await played(move_then_overload, of_rate(rate_per_s))
+            self.assertLessEqual(fleet.used, 1.0, rate_per_s)
