Reproduce shares that sum to more than one while demand falls

Nine VMs, a workspace of 150 requests a second sends 3000, 6 s later 225. Each VM takes its own demand as it was when the oldest news was sent, and that of the others as told last, which is up to 2 s newer and lower.

--- a/tests/gateway/test_quota_bounds.py
+++ b/tests/gateway/test_quota_bounds.py
@@ -35,3 +35,18 @@
         for rate_per_s in (2.0, 6.0):
             fleet = await played(move_then_overload, of_rate(rate_per_s))
             self.assertLessEqual(fleet.used, 1.0, rate_per_s)
+
+
+class TestDemandThatFalls(unittest.TestCase):
+    @unittest.expectedFailure
+    @on_mock_clock
+    async def test_shares_do_not_sum_to_more_than_one(self):
+        """Guards against own demand that is older than that of others."""
+
+        async def fall(fleet):
+            rate_per_s = fleet.workspace.rate_per_s
+            await fleet.play(6, 20 * rate_per_s)
+            await fleet.play(7, 1.5 * rate_per_s)
+
+        fleet = await played(fall, of_rate(150.0))
+        self.assertLessEqual(fleet.used, 1.0)
