--- a/packages/measure/plantainshed_measure/limits_search.py
+++ b/packages/measure/plantainshed_measure/limits_search.py
@@ -177,6 +177,7 @@
             bounds=Bounds(
                 stop_within_s=0.0,
                 longest_ttl_s=0.0,
+                in_force_within_s=0.0,
                 retry_ratio=0.0,
                 retry_slack=0.0,
                 retry_window_s=0.0,
