Read a version of the document again whose segments could not be read

The watch's answer was noted as known before the version's segments were read. If one of these reads met an outage, the watch then waited for the next change, and a version that all watchers had met that way was put in force by nobody until an operator wrote another: new keys refused, withdrawn routes served.

The answer is now noted once the version is in force, or has been refused as not valid. tests.coordination.test_follower test_version_whose_segments_could_not_be_read_is_read_again failed before (version 0, not 1, 3 s after the outage) and passes.

--- a/packages/coordination/plantainshed_coordination/follower.py
+++ b/packages/coordination/plantainshed_coordination/follower.py
@@ -97,9 +97,12 @@
                 await trio.sleep(POLL_S)
                 continue
             try:
-                root = await self.store.wait_for_newer(root)
+                newer = await self.store.wait_for_newer(root)
                 self.store_heard_at = trio.current_time()
-                await self._take(root.revision, self.store.segment)
+                if newer.revision.version not in self.refused:
+                    await self._take(newer.revision, self.store.segment)
+                # Only now: what could not be read is to be told again.
+                root = newer
                 delay_s = RETRY_MIN_S
             except CoordinationError:
                 # Jitter keeps all watchers of the fleet from coming back at
--- a/tests/coordination/test_follower.py
+++ b/tests/coordination/test_follower.py
@@ -6,7 +6,7 @@
 
 from plantainshed_coordination.errors import DocumentError, PlatformUnavailable
 from plantainshed_coordination.follower import DocumentFollower
-from plantainshed_coordination.versioned import Change, DocumentStore
+from plantainshed_coordination.versioned import SEGMENT_KIND, Change, DocumentStore
 from tests.support import FOUR_VMS, PartsFleet, on_mock_clock
 
 
@@ -109,6 +109,23 @@
             await trio.sleep(8)
             self.assertEqual(set(following.versions().values()), {3})
 
+    @on_mock_clock
+    async def test_version_whose_segments_could_not_be_read_is_read_again(self):
+        """A version met a short outage and was put in force with the next one only."""
+        following = FollowingFleet()
+        async with following.fleet.running() as vms:
+            platform = FaultyReads(following.fleet.platform)
+            for vm in vms:
+                following.follow(vm)
+                following.followers[vm].store = DocumentStore(platform)
+            await trio.sleep(3)
+            platform.has_segments = False
+            await following.commit(1, b"one")
+            await trio.sleep(1)
+            platform.has_segments = True
+            await trio.sleep(3)
+            self.assertEqual(set(following.versions().values()), {1})
+
     @on_mock_clock
     async def test_domain_cut_off_from_the_store_hears_from_others(self):
         following = FollowingFleet()
@@ -132,3 +149,30 @@
 
     async def wait_for_change(self, kind, name, known_version):
         await trio.sleep_forever()
+
+
+class FaultyReads:
+    """A platform of which some reads are not answered as they should be.
+
+    Attributes
+    ----------
+    has_segments : bool
+        Whether segments of the document can be read.
+    takes_watches : bool
+        Whether watches are ever answered.
+    """
+
+    def __init__(self, platform):
+        self.platform = platform
+        self.has_segments = True
+        self.takes_watches = True
+
+    async def get(self, kind, name):
+        if kind == SEGMENT_KIND and not self.has_segments:
+            raise PlatformUnavailable("down")
+        return await self.platform.get(kind, name)
+
+    async def wait_for_change(self, kind, name, known_version):
+        if not self.takes_watches:
+            await trio.sleep_forever()
+        return await self.platform.wait_for_change(kind, name, known_version)
