Read the document's root beside the watch for it

Entry daemon. A watch that the store never took up looks like one that waits for a change: all watchers of the fleet could keep an old document for 65 s, the time that one watch may take, as the gateway's VMs did in the incident of configurations that were not taken up. A watch that is answered in time with 'no change' was not counted as an answer either, so that a document nobody changed for 75 s made an incident 'store' though the store answered all calls.

The two watchers of each failure domain now also read the root every 2 s, one call each. tests.coordination.test_follower test_version_is_found_though_no_watch_is_answered (no VM had the version after 3 s) and test_quiet_store_that_answers_is_not_silent (200 s not at most 3 s) failed before and pass. Found by reading.

--- a/packages/coordination/plantainshed_coordination/follower.py
+++ b/packages/coordination/plantainshed_coordination/follower.py
@@ -5,6 +5,7 @@
 installed whole, after it has been checked, and only if it is higher.
 """
 
+import contextlib
 import random
 from collections.abc import Callable, Iterable
 
@@ -20,6 +21,9 @@
 
 WATCHERS = 2
 POLL_S = 1.0
+# Pause between reads of the root beside the watch, which looks the same while it
+# waits for a change and when the store never took it up.
+CONFIRM_S = 2.0
 RETRY_MIN_S = 0.2
 RETRY_MAX_S = 5.0
 PEERS_TRIED = 3
@@ -77,6 +81,7 @@
         """Follow until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watch_store)
+            nursery.start_soon(self._confirm)
             nursery.start_soon(self._follow_peers)
 
     def value(self, name: str) -> bytes | None:
@@ -98,9 +103,7 @@
                 continue
             try:
                 newer = await self.store.wait_for_newer(root)
-                self.store_heard_at = trio.current_time()
-                if newer.revision.version not in self.refused:
-                    await self._take(newer.revision, self.store.segment)
+                await self._take_root(newer)
                 # Only now: what could not be read is to be told again.
                 root = newer
                 delay_s = RETRY_MIN_S
@@ -110,6 +113,20 @@
                 await trio.sleep(delay_s * random.uniform(0.5, 1.5))
                 delay_s = min(RETRY_MAX_S, delay_s * 2)
 
+    async def _confirm(self):
+        """Read what a watch that is never answered would not tell."""
+        while True:
+            await trio.sleep(CONFIRM_S)
+            if not self.is_watching:
+                continue
+            with contextlib.suppress(CoordinationError):
+                await self._take_root(await self.store.root())
+
+    async def _take_root(self, root: Root):
+        self.store_heard_at = trio.current_time()
+        if root.revision.version not in self.refused:
+            await self._take(root.revision, self.store.segment)
+
     def _note_record(self, record: MemberRecord):
         if record.document_version > self.revision.version:
             self._news.set()
--- a/tests/coordination/test_follower.py
+++ b/tests/coordination/test_follower.py
@@ -5,8 +5,13 @@
 import trio
 
 from plantainshed_coordination.errors import DocumentError, PlatformUnavailable
-from plantainshed_coordination.follower import DocumentFollower
-from plantainshed_coordination.versioned import SEGMENT_KIND, Change, DocumentStore
+from plantainshed_coordination.follower import CONFIRM_S, WATCHERS, DocumentFollower
+from plantainshed_coordination.versioned import (
+    ROOT_KIND,
+    SEGMENT_KIND,
+    Change,
+    DocumentStore,
+)
 from tests.support import FOUR_VMS, PartsFleet, on_mock_clock
 
 
@@ -126,6 +131,37 @@
             await trio.sleep(3)
             self.assertEqual(set(following.versions().values()), {1})
 
+    @on_mock_clock
+    async def test_version_is_found_though_no_watch_is_answered(self):
+        """Every VM kept an old document for as long as a watch may wait."""
+        following = FollowingFleet()
+        async with following.fleet.running() as vms:
+            platform = FaultyReads(following.fleet.platform)
+            platform.takes_watches = False
+            for vm in vms:
+                following.follow(vm)
+                following.followers[vm].store = DocumentStore(platform)
+            await trio.sleep(3)
+            await following.commit(1, b"one")
+            await trio.sleep(CONFIRM_S + 1)
+            self.assertEqual(set(following.versions().values()), {1})
+            platform.root_reads = 0
+            await trio.sleep(60)
+            self.assertLessEqual(platform.root_reads, 60 / CONFIRM_S * WATCHERS * 2)
+
+    @on_mock_clock
+    async def test_quiet_store_that_answers_is_not_silent(self):
+        """A store with nothing to tell counted as silent, an incident, after 75 s."""
+        following = FollowingFleet()
+        async with following.fleet.running() as vms:
+            for vm in vms:
+                following.follow(vm)
+            await following.commit(1, b"one")
+            await trio.sleep(200)
+            follower = following.followers["a-1"]
+            silence_s = trio.current_time() - follower.store_heard_at
+            self.assertLessEqual(silence_s, CONFIRM_S + 1)
+
     @on_mock_clock
     async def test_domain_cut_off_from_the_store_hears_from_others(self):
         following = FollowingFleet()
@@ -160,14 +196,17 @@
         Whether segments of the document can be read.
     takes_watches : bool
         Whether watches are ever answered.
+    root_reads : int
     """
 
     def __init__(self, platform):
         self.platform = platform
         self.has_segments = True
         self.takes_watches = True
+        self.root_reads = 0
 
     async def get(self, kind, name):
+        self.root_reads += kind == ROOT_KIND
         if kind == SEGMENT_KIND and not self.has_segments:
             raise PlatformUnavailable("down")
         return await self.platform.get(kind, name)
