List that a target that answers nobody is never left out

A request that runs into its time is cancelled, and the attempt tells its target's state nothing, so a target that is frozen, or whose answers are lost, goes on getting the requests for its objects. Callers get 504 after each request's whole time until the target's entry runs out, and while the store is silent no VM hears that it has. Only the growing number of requests there sends some elsewhere.

--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -3,6 +3,7 @@
 
 import trio
 
+from plantainshed_gateway.registry import FAILURES_TO_EJECT
 from plantainshed_http.errors import ConnectionBroken
 from plantainshed_http.server import Stopping, serve_http
 from tests.platform.platform_support import (
@@ -277,6 +278,20 @@
 
 
 class TestTime(unittest.TestCase):
+    @unittest.expectedFailure
+    @on_real_clock
+    async def test_target_that_answers_nobody_is_left_out(self):
+        """Each request for a frozen target's objects ran into its whole time."""
+        async with running_path() as path:
+            await path.ask(affinity_key="42")
+            owner = next(target for target in path.targets if target.runs)
+            owner.takes_s = 3600.0
+            for _ in range(FAILURES_TO_EJECT):
+                status, _, _ = await path.ask(affinity_key="42")
+                self.assertEqual(status, 504)
+            status, _, _ = await path.ask(affinity_key="42")
+            self.assertEqual(status, 200)
+
     @on_real_clock
     async def test_answered_at_the_routes_timeout(self):
         routes = [route(timeout="200ms", targetLatency="100ms", attempts=1)]
