Let answered polls not shorten the pause between refused watches

A store that answers polls and turns watches away, as one may that is too busy, got more watches than before there were polls: each answered poll set the pause between tries back to 0.1 s. In the test 105 watches in 20 s, of 75 at the longest pause.

Only a watch or a list that is answered sets the pause back now. tests.gateway.test_freshness test_watches_that_are_turned_away_stay_rare_while_polls_are_answered failed before (105 not at most 75) and passes.

--- a/packages/gateway/plantainshed_gateway/replication.py
+++ b/packages/gateway/plantainshed_gateway/replication.py
@@ -223,6 +223,7 @@
         except StoreUnavailable:
             self._must_list = True
             raise
+        self._retry_s = FIRST_RETRY_S
         self.note_regained()
         is_changed = self.replica.take_snapshot(snapshot)
         # Not if this process was paused meanwhile: the answer can be from before.
@@ -258,6 +259,7 @@
                 self._is_overtaken = False
                 return
             raise StoreUnavailable("the watch went silent")
+        self._retry_s = FIRST_RETRY_S
         self.note_regained()
         if self.replica.take_changes(changes):
             self.listener(self.collection)
@@ -284,7 +286,6 @@
 
     def note_regained(self):
         """Note that the store answers this VM."""
-        self._retry_s = FIRST_RETRY_S
         if self.is_in_touch:
             return
         self.is_in_touch = True
--- a/tests/gateway/test_freshness.py
+++ b/tests/gateway/test_freshness.py
@@ -29,6 +29,8 @@
         Whether calls that begin now are turned away at once.
     deaf : set of Collection
         Collections whose waiting watches are never answered.
+    takes_watches : bool
+        Whether waiting watches are not turned away at once.
     oldest : int
         Changes up to this revision are forgotten.
     lagging_at : dict of Collection to int
@@ -42,6 +44,8 @@
         self.is_silent = False
         self.is_refusing = False
         self.deaf: set[Collection] = set()
+        self.takes_watches = True
+        self.watches = 0
         self.oldest = 0
         self.lagging_at: dict[Collection, int] = {}
         self.polls: list[Collection] = []
@@ -66,9 +70,13 @@
         return Snapshot(tuple(items.values()), self.revision)
 
     async def watch(self, collection, revision, wait_s):
-        if not wait_s:
+        if wait_s:
+            self.watches += 1
+        else:
             self.polls.append(collection)
         await self._answer(wait_s)
+        if wait_s and not self.takes_watches:
+            raise StoreUnavailable("turned away")
         if wait_s and collection in self.deaf:
             await trio.sleep(wait_s + CALL_TIMEOUT_S)
             raise StoreUnavailable("no answer")
@@ -286,6 +294,21 @@
             await trio.sleep(LONGEST_RETRY_S + 0.2)
             self.assertFalse(vm.freshness.is_lost)
 
+    @on_mock_clock
+    async def test_watches_that_are_turned_away_stay_rare_while_polls_are_answered(
+        self,
+    ):
+        """Each answered poll made the watches of a busy store frequent again."""
+        async with running_vm() as vm:
+            vm.store.takes_watches = False
+            for follower in vm.followers.values():
+                follower.restart_watch()
+            await trio.sleep(INTERVAL_S)
+            vm.store.watches = 0
+            await trio.sleep(20)
+            most = 20 / LONGEST_RETRY_S * len(FOLLOWED)
+            self.assertLessEqual(vm.store.watches, most)
+
     @on_mock_clock
     async def test_vm_that_goes_off_duty_in_a_silence_sends_its_watches_again(self):
         """A VM whose watches went silent counted as cut off for 20 s more."""
