Let no target that left during a pause of this VM count as lapsed

A watch or a poll that runs into its time while this process stands still makes the store look lost, and regained with the next answer. Targets that had announced their leaving and left in that time were missing then without ever having been seen to leave, so they counted as lapsed and got requests for 1.8 s more, long after the store had said that they left.

--- a/packages/gateway/plantainshed_gateway/gateway.py
+++ b/packages/gateway/plantainshed_gateway/gateway.py
@@ -312,6 +312,7 @@
         """Learn what changed while this process stood still."""
         self.log.event("was paused", seconds=round(paused_s, 3))
         self.serving.is_awake = False
+        self.state_taker.note_pause()
         for follower in self.followers.values():
             follower.list_again()
         with trio.move_on_after(CATCH_UP_S):
--- a/packages/gateway/plantainshed_gateway/state_taker.py
+++ b/packages/gateway/plantainshed_gateway/state_taker.py
@@ -50,6 +50,15 @@
         self.registry = registry
         self.limits = limits
         self.log = log
+        self._paused_at = float("-inf")
+
+    def note_pause(self):
+        """Note that this process stood still until now.
+
+        Then what vanished from the store can have left long ago, also if a call
+        that ran into its time meanwhile makes the store look lost and regained.
+        """
+        self._paused_at = trio.current_time()
 
     def take(self, collection: Collection):
         """Put a collection's newest copy in force."""
@@ -114,14 +123,20 @@
         follower = self.followers[Collection.TARGETS]
         entries = self._decoded(Collection.TARGETS, self.decoder.target)
         before = {name: s.entry for name, s in self.registry.states.items()}
-        since_back = trio.current_time() - follower.regained_at
-        if follower.is_in_touch:
-            self.registry.take_entries(entries, may_have_lapsed=since_back < LAPSE_S)
+        if follower.is_in_touch or self._was_paused():
+            self.registry.take_entries(entries, self._is_just_back(follower))
         else:
             # A peer told it, and may have done so just after an outage for all.
             self.registry.take_entries(entries, True, told_after_s=PEER_GRACE_S)
         self._log_targets(before, follower.replica.revision)
 
+    def _is_just_back(self, follower: Follower) -> bool:
+        since_back_s = trio.current_time() - follower.regained_at
+        return since_back_s < LAPSE_S and not self._was_paused()
+
+    def _was_paused(self) -> bool:
+        return trio.current_time() - self._paused_at < LAPSE_S
+
     def _log_targets(self, before: dict[str, TargetEntry], revision: int):
         after = self.registry.states
         joined = [name for name in after if name not in before]
--- a/tests/gateway/test_state_taker.py
+++ b/tests/gateway/test_state_taker.py
@@ -45,6 +45,13 @@
     return StateTaker(decoder, followers, admission, registry, ConnectionLimits(), log)
 
 
+def take_targets(taker: StateTaker, revision: int, *names: str):
+    items = tuple(Item(name, 5, None) for name in names)
+    replica = taker.followers[Collection.TARGETS].replica
+    replica.take_snapshot(Snapshot(items, revision))
+    taker.take(Collection.TARGETS)
+
+
 class TestStateTaker(unittest.TestCase):
     @on_mock_clock
     async def test_configuration_that_is_not_put_in_force_has_a_line(self):
@@ -69,10 +76,22 @@
         taker = make_taker(NameDecoder(), follower, log)
         follower.note_regained()
         follower.note_lost("no answer")
-        for revision, names in ((5, ("i-0", "i-1")), (6, ("i-1",))):
-            items = tuple(Item(name, 5, None) for name in names)
-            follower.replica.take_snapshot(Snapshot(items, revision))
-            taker.take(Collection.TARGETS)
+        take_targets(taker, 5, "i-0", "i-1")
+        take_targets(taker, 6, "i-1")
         self.assertEqual(len(taker.registry.usable("calendario", frozenset())), 2)
         await trio.sleep(2.0 - PEER_GRACE_S - ANSWERS_S)
         self.assertEqual(len(taker.registry.usable("calendario", frozenset())), 1)
+
+    @on_mock_clock
+    async def test_target_that_left_during_a_pause_gets_nothing_after_it(self):
+        """A VM that woke sent requests to a target that had left for 1.8 s more."""
+        log = NoLog()
+        follower = Follower(None, Collection.TARGETS, lambda c: None, log)
+        taker = make_taker(NameDecoder(), follower, log)
+        follower.note_regained()
+        take_targets(taker, 5, "i-0", "i-1")
+        follower.note_lost("the watch went silent")
+        taker.note_pause()
+        follower.note_regained()
+        take_targets(taker, 6, "i-1")
+        self.assertEqual(len(taker.registry.usable("calendario", frozenset())), 1)
