--- a/tests/gateway/test_state_taker.py
+++ b/tests/gateway/test_state_taker.py
@@ -95,3 +95,15 @@
         follower.note_regained()
         take_targets(taker, 6, "i-1")
         self.assertEqual(len(taker.registry.usable("calendario", frozenset())), 1)
+
+    @on_mock_clock
+    async def test_vm_that_leaves_watching_to_others_believes_them_at_once(self):
+        """A VM whose last own watch went silent kept each target that had left."""
+        follower = Follower(None, Collection.TARGETS, lambda c: None, NoLog())
+        taker = make_taker(NameDecoder(), follower, NoLog())
+        follower.note_regained()
+        take_targets(taker, 5, "i-0", "i-1")
+        follower.note_lost("the watch went silent")
+        follower.is_resting = True
+        take_targets(taker, 6, "i-1")
+        self.assertEqual(len(taker.registry.usable("calendario", frozenset())), 1)
