--- a/tests/coordination/test_follower.py
+++ b/tests/coordination/test_follower.py
@@ -5,8 +5,13 @@
 import trio
 
 from plantainshed_coordination.errors import DocumentError, PlatformUnavailable
-from plantainshed_coordination.follower import DocumentFollower
-from plantainshed_coordination.versioned import Change, DocumentStore
+from plantainshed_coordination.follower import CONFIRM_S, WATCHERS, DocumentFollower
+from plantainshed_coordination.versioned import (
+    ROOT_KIND,
+    SEGMENT_KIND,
+    Change,
+    DocumentStore,
+)
 from tests.support import FOUR_VMS, PartsFleet, on_mock_clock
 
 
@@ -109,6 +114,54 @@
             await trio.sleep(8)
             self.assertEqual(set(following.versions().values()), {3})
 
+    @on_mock_clock
+    async def test_version_whose_segments_could_not_be_read_is_read_again(self):
+        """A version met a short outage and was put in force with the next one only."""
+        following = FollowingFleet()
+        async with following.fleet.running() as vms:
+            platform = FaultyReads(following.fleet.platform)
+            for vm in vms:
+                following.follow(vm)
+                following.followers[vm].store = DocumentStore(platform)
+            await trio.sleep(3)
+            platform.has_segments = False
+            await following.commit(1, b"one")
+            await trio.sleep(1)
+            platform.has_segments = True
+            await trio.sleep(3)
+            self.assertEqual(set(following.versions().values()), {1})
+
+    @on_mock_clock
+    async def test_version_is_found_though_no_watch_is_answered(self):
+        """Every VM kept an old document for as long as a watch may wait."""
+        following = FollowingFleet()
+        async with following.fleet.running() as vms:
+            platform = FaultyReads(following.fleet.platform)
+            platform.takes_watches = False
+            for vm in vms:
+                following.follow(vm)
+                following.followers[vm].store = DocumentStore(platform)
+            await trio.sleep(3)
+            await following.commit(1, b"one")
+            await trio.sleep(CONFIRM_S + 1)
+            self.assertEqual(set(following.versions().values()), {1})
+            platform.root_reads = 0
+            await trio.sleep(60)
+            self.assertLessEqual(platform.root_reads, 60 / CONFIRM_S * WATCHERS * 2)
+
+    @on_mock_clock
+    async def test_quiet_store_that_answers_is_not_silent(self):
+        """A store with nothing to tell counted as silent, an incident, after 75 s."""
+        following = FollowingFleet()
+        async with following.fleet.running() as vms:
+            for vm in vms:
+                following.follow(vm)
+            await following.commit(1, b"one")
+            await trio.sleep(200)
+            follower = following.followers["a-1"]
+            silence_s = trio.current_time() - follower.store_heard_at
+            self.assertLessEqual(silence_s, CONFIRM_S + 1)
+
     @on_mock_clock
     async def test_domain_cut_off_from_the_store_hears_from_others(self):
         following = FollowingFleet()
@@ -132,3 +185,33 @@
 
     async def wait_for_change(self, kind, name, known_version):
         await trio.sleep_forever()
+
+
+class FaultyReads:
+    """A platform of which some reads are not answered as they should be.
+
+    Attributes
+    ----------
+    has_segments : bool
+        Whether segments of the document can be read.
+    takes_watches : bool
+        Whether watches are ever answered.
+    root_reads : int
+    """
+
+    def __init__(self, platform):
+        self.platform = platform
+        self.has_segments = True
+        self.takes_watches = True
+        self.root_reads = 0
+
+    async def get(self, kind, name):
+        self.root_reads += kind == ROOT_KIND
+        if kind == SEGMENT_KIND and not self.has_segments:
+            raise PlatformUnavailable("down")
+        return await self.platform.get(kind, name)
+
+    async def wait_for_change(self, kind, name, known_version):
+        if not self.takes_watches:
+            await trio.sleep_forever()
+        return await self.platform.wait_for_change(kind, name, known_version)
