Ask the next peer for the document when one gives no answer in a second

Entry daemon. Peers that know a newer version are asked one after another, and a call to one that is frozen takes its 5 s: meanwhile nobody else was asked, also not VMs that had the version. VMs that do not hear the store kept the old document for as long.

Each peer now has 1 s; the time doubles up to 16 s while nobody gives the document in time, so that a large one over a slow link still comes. tests.coordination.test_follower test_frozen_peer_keeps_no_other_from_being_asked failed before (version 0, not 1, 4 s after the change) and passes. Found by reading.

--- a/packages/coordination/plantainshed_coordination/follower.py
+++ b/packages/coordination/plantainshed_coordination/follower.py
@@ -7,7 +7,7 @@
 
 import contextlib
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 import trio
 
@@ -27,6 +27,10 @@
 RETRY_MIN_S = 0.2
 RETRY_MAX_S = 5.0
 PEERS_TRIED = 3
+# First and longest time for the whole document from one peer; it doubles while no
+# peer gives it in time.
+ANSWER_S = 1.0
+LONGEST_ANSWER_S = 16.0
 REVISION_NAME = "revision"
 SEGMENT_PREFIX = "segment/"
 
@@ -132,18 +136,29 @@
             self._news.set()
 
     async def _follow_peers(self):
+        limit_s = ANSWER_S
         while True:
             with trio.move_on_after(POLL_S):
                 await self._news.wait()
             self._news = trio.Event()
-            for record in self._better_peers():
-                try:
-                    await self._take_from(record)
-                    break
-                except CoordinationError:
-                    continue
-
-    def _better_peers(self) -> Iterable[MemberRecord]:
+            records = self._better_peers()
+            if not records or await self._take_from_first(records, limit_s):
+                limit_s = ANSWER_S
+            else:
+                limit_s = min(LONGEST_ANSWER_S, 2 * limit_s)
+
+    async def _take_from_first(
+        self, records: list[MemberRecord], limit_s: float
+    ) -> bool:
+        """Take the document from the first peer that gives it in time, if any."""
+        for record in records:
+            # A frozen peer must not keep this VM from another, known or not yet.
+            with contextlib.suppress(CoordinationError), trio.move_on_after(limit_s):
+                await self._take_from(record)
+                return True
+        return False
+
+    def _better_peers(self) -> list[MemberRecord]:
         """Return peers with a newer version, those of the own domain first.
 
         Other domains are asked only by two VMs of this one, so that a change
--- a/tests/coordination/test_follower.py
+++ b/tests/coordination/test_follower.py
@@ -4,7 +4,11 @@
 
 import trio
 
-from plantainshed_coordination.errors import DocumentError, PlatformUnavailable
+from plantainshed_coordination.errors import (
+    DocumentError,
+    PeerTimeout,
+    PlatformUnavailable,
+)
 from plantainshed_coordination.follower import CONFIRM_S, WATCHERS, DocumentFollower
 from plantainshed_coordination.versioned import (
     ROOT_KIND,
@@ -114,6 +118,22 @@
             await trio.sleep(8)
             self.assertEqual(set(following.versions().values()), {3})
 
+    @on_mock_clock
+    async def test_frozen_peer_keeps_no_other_from_being_asked(self):
+        """A version that several peers had came 5 s late, the time of one call."""
+        following = FollowingFleet()
+        async with following.fleet.running() as vms:
+            for vm in vms:
+                following.follow(vm)
+            for vm in ("b-1", "b-2"):
+                follower = following.followers[vm]
+                follower.store = DocumentStore(DeadPlatform())
+                follower.bulk = FirstAskedIsFrozen(follower.bulk)
+            await trio.sleep(3)
+            await following.commit(1, b"one")
+            await trio.sleep(4)
+            self.assertEqual(set(following.versions().values()), {1})
+
     @on_mock_clock
     async def test_version_whose_segments_could_not_be_read_is_read_again(self):
         """A version met a short outage and was put in force with the next one only."""
@@ -177,6 +197,21 @@
             self.assertEqual(set(following.versions().values()), {1})
 
 
+class FirstAskedIsFrozen:
+    """Fetches from peers, of which the first that is asked gives no answer."""
+
+    def __init__(self, bulk):
+        self.bulk = bulk
+        self.frozen = ""
+
+    async def fetch(self, address, name):
+        self.frozen = self.frozen or address
+        if address == self.frozen:
+            await trio.sleep(5.0)
+            raise PeerTimeout("no answer")
+        return await self.bulk.fetch(address, name)
+
+
 class DeadPlatform:
     """A platform that never answers a watch and refuses the rest."""
 
