Reproduce a start of all VMs whose tokens pass the tolerance

24 VMs in 12 failure domains, a workspace of 2 requests a second; after a burst that took all tokens at hand all VMs start again, and each has a whole token: 36 requests in a window where 33.2 are allowed (1.08); rate 6: 61 of 59.6 (1.02).

--- a/tests/gateway/test_quota_bounds.py
+++ b/tests/gateway/test_quota_bounds.py
@@ -49,3 +49,22 @@
 
         fleet = await played(fall, of_rate(150.0))
         self.assertLessEqual(fleet.used, 1.0)
+
+
+class TestAllVmsStartAgain(unittest.TestCase):
+    @unittest.expectedFailure
+    @on_mock_clock
+    async def test_tokens_of_a_start_are_within_the_tolerance(self):
+        """Guards against a whole token at each VM that starts, however many do."""
+
+        async def start_again(fleet):
+            await fleet.play(10, fleet.workspace.rate_per_s / 20)
+            await fleet.play(0.3, 60)
+            for ip in fleet.vms:
+                fleet.restart(ip)
+            await fleet.play(8, 60)
+
+        domains = {f"{region}-{n}": 2 for region in ("be", "nl", "fr") for n in "abcd"}
+        for rate_per_s in (2.0, 6.0):
+            fleet = await played(start_again, of_rate(rate_per_s), domains)
+            self.assertLessEqual(fleet.used, 1.0, rate_per_s)
