--- a/packages/gateway/plantainshed_gateway/quota.py
+++ b/packages/gateway/plantainshed_gateway/quota.py
@@ -21,7 +21,8 @@
 
 A share falls at once and grows only to what it was found to be for `GROWTH_S` and
 the way that news of far domains takes: VMs do not compute with the demand of one
-moment, so that some find a larger share due before others find a smaller one.
+moment, so that some find a larger share due before others find a smaller one. While
+news is overdue a share stays as it is.
 
 The part of a VM that is not heard stays with it, because it may live behind a
 partition and still use it; so the shares that are in use sum to more than one
@@ -293,6 +294,8 @@
                 share = 1.0 / self._vm_count
                 level = self._first_level(workspace.name, (most + unused) * share)
             bucket = Bucket(rate, most, unused, share, level, share)
+            # Others' first news tells no demand yet, and seems to leave all to it.
+            bucket.due.append((trio.current_time(), share))
             self.buckets[workspace.name] = bucket
         bucket.rate, bucket.most, bucket.unused = rate, most, unused
         return bucket
@@ -335,6 +338,9 @@
         in_use = self._part_of_heard()
         is_some_silent = self.members.heard_count() > len(self.members.alive())
         growth_s = GROWTH_S + self.round_trips.longest_s() / 2
+        # While news is overdue somebody may be cut off, or this VM is: the others
+        # would not know what it takes now, nor leave it to it.
+        is_overdue = moment < trio.current_time() - growth_s
         for name, bucket in self.buckets.items():
             bucket.fill()
             bucket.lent = 0.0
@@ -357,6 +363,8 @@
             if is_some_silent:
                 used_here *= _part_in_use(bucket.share, totals)
             part = _part(asked, total, holder_count, even_part) * used_here
+            if is_overdue:
+                part = bucket.share
             bucket.set_due(part, holder_count, growth_s)
             bucket.set_part(used_here / holder_count, max(EVEN_PART, few))
 
