Let a soak that is told to end take its VMs with it

Seen: a soak that got SIGTERM left its VMs running, as nothing in it took the signal; they loaded the machine until they were ended by hand. SIGINT ended them, as KeyboardInterrupt at whatever place it found. Cause: SIGTERM was the system's, so that `Vm.run` never came to its `finally`.

Both signals now end the soak as its other failures do: its tasks are cancelled, each VM is killed by its id and waited for, the logs are kept, the exit code is 2.

The test starts a soak with 2 VMs and sends the signal as soon as both have begun.

--- a/tests/platform/soak/__main__.py
+++ b/tests/platform/soak/__main__.py
@@ -3,6 +3,7 @@
 import json
 import os
 import shutil
+import signal
 import sys
 import tempfile
 import time
@@ -26,6 +27,11 @@
 END_PHASE_S = 6.0
 SHOWN_EACH = 3
 KEPT_LOGS = Path("target") / "soak"
+ENDING = (signal.SIGTERM, signal.SIGINT)
+
+
+class ToldToEnd(Exception):
+    """The soak got a signal that ends it."""
 
 
 class ExitCode(IntEnum):
@@ -63,7 +69,7 @@
     began_at = time.monotonic()
     with tempfile.TemporaryDirectory(prefix="soak-") as folder:
         try:
-            report = trio.run(_soak, settings, Path(folder))
+            report = trio.run(_soak_unless_ended, settings, Path(folder))
         except BaseExceptionGroup as group:
             # Nested too deep to be printed; what ended the soak is at the leaves.
             causes = [f"{type(e).__name__}: {e}" for e in _leaves(group)]
@@ -77,6 +83,21 @@
     sys.exit(ExitCode.VIOLATED if report["violations"] else ExitCode.OK)
 
 
+async def _soak_unless_ended(settings: SoakSettings, folder: Path) -> dict:
+    """Run a soak, which ends its VMs, until it is over or a signal comes."""
+    with trio.open_signal_receiver(*ENDING) as signals:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_raise_if_told_to_end, signals)
+            report = await _soak(settings, folder)
+            nursery.cancel_scope.cancel()
+    return report
+
+
+async def _raise_if_told_to_end(signals):
+    async for number in signals:
+        raise ToldToEnd(f"told to end by {signal.Signals(number).name}")
+
+
 async def _soak(settings: SoakSettings, folder: Path) -> dict:
     seen: list[Seen] = []
     plan, series = draw(settings), draw_signals(settings)
--- a/tests/platform/soak/processes.py
+++ b/tests/platform/soak/processes.py
@@ -120,6 +120,12 @@
         finally:
             self.send(signal.SIGCONT)
             self.send(signal.SIGKILL)
+            with trio.CancelScope(shield=True):
+                await self._until_ended()
+
+    async def _until_ended(self):
+        if self.process is not None:
+            await self.process.wait()
 
     async def _run_once(self):
         with self.log.open("ab") as out:
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -1,6 +1,8 @@
 """The soak finds what it is meant to find."""
 
+import os
 import signal
+import subprocess
 import sys
 import tempfile
 import time
@@ -288,6 +290,45 @@
         self.assertIn("target/soak/seed-1", said.call_args.args[0])
 
 
+def processes_of(pid: int) -> set[int]:
+    """Return the ids of processes that a process started and that have not ended."""
+    children = Path(f"/proc/{pid}/task").glob("*/children")
+    return {int(child) for listed in children for child in listed.read_text().split()}
+
+
+def end(pids: set[int]) -> set[int]:
+    """Kill processes; return those that had not ended."""
+    left = {pid for pid in pids if Path(f"/proc/{pid}").exists()}
+    for pid in left:
+        os.kill(pid, signal.SIGKILL)
+    return left
+
+
+class TestEndOfSoak(unittest.TestCase):
+    def ended_by(self, number: int) -> tuple[str, set[int]]:
+        """End a soak by a signal; return what it printed and what it left behind."""
+        command = [sys.executable, "-m", "tests.platform.soak"]
+        command += ["--vms=2", "--domains=2", "--duration=30"]
+        with subprocess.Popen(command, stdout=subprocess.PIPE, text=True) as process:
+            vms = set()
+            while len(vms) < 2 and process.poll() is None:
+                time.sleep(0.02)
+                vms = processes_of(process.pid)
+            process.send_signal(number)
+            printed = process.stdout.read()
+        left = end(vms)
+        self.assertEqual(process.returncode, ExitCode.FAILED)
+        return printed, left
+
+    def test_ends_its_vms_when_it_is_told_to_end(self):
+        """A soak that is ended leaves its VMs behind, which load the machine."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            with self.subTest(number.name):
+                printed, left = self.ended_by(number)
+                self.assertEqual(left, set())
+                self.assertIn(f"told to end by {number.name}", printed)
+
+
 class TestOwnStalls(unittest.TestCase):
     @on_real_clock
     async def test_stall_in_the_last_moment(self):
