Give a lender that answered since it last failed its second chance again

Callers saw: refusals with reason `rate` of a workspace far below its rate, beside load, while others held its tokens. Cause: a VM that did not answer in time is asked once more, unless it had failed before within 2 s. That it had answered, and lent, in between did not count: two short delays within 2 s, each of one question, and it counted as having nothing for 0.5 s. If it alone had tokens, the request was refused at once. Now an answer in time ends what its failures before mean. The limits on rounds stay.

The test has a lender that is slow twice (0.08 s one way for 0.2 s), 0.5 s after it lent, and lends after the first time; the second request was refused.

--- a/packages/coordination/plantainshed_coordination/lending.py
+++ b/packages/coordination/plantainshed_coordination/lending.py
@@ -37,7 +37,8 @@
 MIN_LOAN = 1e-3
 LEFT_FRESH_S = 0.5
 # A VM that did not answer in time is asked once more unless it failed before
-# within this time; one that is gone is then left out by membership.
+# within this time and has not answered since; one that is gone is then left out
+# by membership.
 SECOND_CHANCE_S = 2.0
 
 
@@ -361,6 +362,7 @@
         except PeerError:
             self._note_no_answer(vm, name, own)
             return 0.0
+        self._failed_at.pop(vm, None)
         self._last_left[name, vm] = HeardLeft(grant.left, trio.current_time())
         return grant.amount
 
--- a/tests/coordination/test_lending.py
+++ b/tests/coordination/test_lending.py
@@ -67,6 +67,19 @@
             self.slow_for(fleet, 0.2)
             self.assertTrue(await vms["a-1"].lending.take(SLOW.name))
 
+    @on_mock_clock
+    async def test_lender_that_is_slow_again_after_it_lent_is_asked_again(self):
+        """A VM that is late twice in 2 s counts as empty, though it lent in between."""
+        fleet = PartsFleet(TWO_VMS, specs=[SLOW])
+        async with fleet.running() as vms:
+            await trio.sleep(SETTLE_S)
+            for _ in range(2):
+                await self.spend_own(vms["a-1"])
+                self.slow_for(fleet, 0.2)
+                self.assertTrue(await vms["a-1"].lending.take(SLOW.name))
+                await trio.sleep(LEFT_FRESH_S)
+                self.assertGreater(vms["b-1"].part.level, 1.0)
+
     @on_mock_clock
     async def test_empty_fleet_is_not_asked_longer_than_before(self):
         """A workspace far above its rate costs all VMs a flood of questions.
