Take a lender whose answers come late for slow, not for empty

Cause: a VM that twice did not answer within 0.12 s counted as having nothing for 0.5 s, and the round that asked it as a proof that nobody has any. An answer that came a moment later was dropped. So a lender whose round trips took 0.16 s for a while, or that stood still for 0.3 s, was as good as empty although it had said that it lives.

Now the network tells of answers to questions that were given up. A VM that answers late is asked up to four times in a row, as often as a request asks at most, and is not counted as silent any more when its answer comes. One that answers nothing is given up after two questions as before, one that is always late after four: then it counts as having nothing for 0.5 s, and no late answer changes that. The limits on rounds, on waiting and on how long a loan can be used stay; no token is counted otherwise.

Ruled out: forgetting silence for any message of the VM (heartbeats of a VM that our questions do not reach would have each request wait for it).

Tests: a lender with 0.16 s a round trip for 0.3 s, and one that answers after 0.3 s; both requests were refused before.

--- a/packages/coordination/plantainshed_coordination/lending.py
+++ b/packages/coordination/plantainshed_coordination/lending.py
@@ -36,10 +36,14 @@
 RETURN_RETRY_S = 0.5
 MIN_LOAN = 1e-3
 LEFT_FRESH_S = 0.5
-# A VM that did not answer in time is asked once more unless it failed before
-# within this time and has not answered since; one that is gone is then left out
-# by membership.
+# A VM that did not answer in time is asked again unless it failed before within
+# this time and has not answered since; one that is gone is then left out by
+# membership.
 SECOND_CHANCE_S = 2.0
+# Questions in a row without an answer after which a VM counts as having nothing for
+# a while. One whose answers come late is alive, and may soon be in time again.
+TRIES_OF_SILENT = 2
+TRIES_OF_LATE = LATE_ROUNDS
 
 
 @frozen
@@ -80,6 +84,27 @@
     is_silence: bool = False
 
 
+@define
+class Failures:
+    """Questions in a row that a VM did not answer in time.
+
+    Attributes
+    ----------
+    count : int
+    last_at : float
+    has_answered : bool
+        Whether an answer came, though too late to be used.
+    """
+
+    count: int = 0
+    last_at: float = -math.inf
+    has_answered: bool = False
+
+    def is_last_try(self) -> bool:
+        """Tell whether the VM is not to be asked again for a while."""
+        return self.count >= (TRIES_OF_LATE if self.has_answered else TRIES_OF_SILENT)
+
+
 @define
 class Round:
     """One round of questions, on which several requests may wait.
@@ -136,9 +161,10 @@
         self._waiting: dict[str, list[Waiter]] = {}
         self._dry: dict[str, DrySpell] = {}
         self._last_left: dict[tuple[str, str], HeardLeft] = {}
-        self._failed_at: dict[str, float] = {}
+        self._failures: dict[str, Failures] = {}
         self._grant_numbers = itertools.count(1)
         self._to_return, self._returning = trio.open_memory_channel(float("inf"))
+        network.late_answer_handlers["loan_grant"] = self._on_late_answer
 
     async def run(self):
         """Return borrowed counts until cancelled."""
@@ -362,19 +388,34 @@
         except PeerError:
             self._note_no_answer(vm, name, own)
             return 0.0
-        self._failed_at.pop(vm, None)
+        self._failures.pop(vm, None)
         self._last_left[name, vm] = HeardLeft(grant.left, trio.current_time())
         return grant.amount
 
     def _note_no_answer(self, vm: str, name: str, own: Round):
         now = trio.current_time()
-        is_first = now - self._failed_at.get(vm, -math.inf) > SECOND_CHANCE_S
-        self._failed_at[vm] = now
-        if is_first:
+        failures = self._failures.get(vm)
+        if failures is None or now - failures.last_at > SECOND_CHANCE_S:
+            failures = self._failures[vm] = Failures()
+        failures.count += 1
+        failures.last_at = now
+        if failures.is_last_try():
+            self._last_left[name, vm] = HeardLeft(0.0, now, is_silence=True)
+        else:
             self._last_left.pop((name, vm), None)
             own.is_late = True
-        else:
-            self._last_left[name, vm] = HeardLeft(0.0, now, is_silence=True)
+
+    def _on_late_answer(self, vm: str):
+        """Have a VM asked again that was taken for silent, as it is not."""
+        failures = self._failures.get(vm)
+        if failures is None:
+            return
+        failures.has_answered = True
+        if failures.is_last_try():
+            return
+        for key, left in list(self._last_left.items()):
+            if key[1] == vm and left.is_silence:
+                del self._last_left[key]
 
     # One of a count.
 
--- a/packages/coordination/plantainshed_coordination/network.py
+++ b/packages/coordination/plantainshed_coordination/network.py
@@ -49,6 +49,9 @@
     handlers : dict of str to callable
         By the field name of the message in `Envelope`. What a handler returns
         is sent back as the answer.
+    late_answer_handlers : dict of str to callable
+        By the answer's field name; told which VM answered a question that has
+        been given up, or once more one that it had answered.
     received : collections.Counter
         Messages by field name.
     """
@@ -58,6 +61,7 @@
         self.transport = transport
         self.addresses: dict[str, str] = {}
         self.handlers: dict[str, PeerHandler] = {}
+        self.late_answer_handlers: dict[str, Callable[[str], None]] = {}
         self.received = Counter()
         self.sent = Counter()
         self._request_ids = itertools.count(1)
@@ -120,12 +124,7 @@
         self.received[field] += 1
         message = getattr(envelope, field)
         if envelope.is_reply:
-            # An answer that comes after its question was given up has no
-            # waiting entry left and is dropped; it never reaches another one.
-            answer = self._waiting.get(envelope.request_id)
-            if answer is not None:
-                answer.message = message
-                answer.arrived.set()
+            self._take_answer(envelope, field, message)
             return
         handler = self.handlers.get(field)
         if handler is None:
@@ -144,6 +143,16 @@
         if reply is not None:
             await self._reply(envelope, reply)
 
+    def _take_answer(self, envelope, field: str, message):
+        # An answer that comes after its question was given up has no waiting
+        # entry left; it never reaches another one.
+        answer = self._waiting.get(envelope.request_id)
+        if answer is not None:
+            answer.message = message
+            answer.arrived.set()
+        elif field in self.late_answer_handlers:
+            self.late_answer_handlers[field](envelope.vm)
+
     def _remember(self, question, reply):
         self._answered[question] = reply
         while len(self._answered) > REMEMBERED_ANSWERS:
--- a/tests/coordination/test_lending.py
+++ b/tests/coordination/test_lending.py
@@ -45,6 +45,17 @@
 
         fleet.network.delay = delay
 
+    def pause_for(self, fleet, seconds):
+        """Have all datagrams arrive after a while, and not before."""
+        until = trio.current_time() + seconds
+        usual = fleet.network.delay
+
+        def delay(sender, receiver):
+            left_s = max(0.0, until - trio.current_time())
+            return left_s + usual(sender, receiver)
+
+        fleet.network.delay = delay
+
     async def spend_own(self, vm):
         """Use up a VM's own tokens, so that it has to borrow."""
         part = vm.holdings.rate(SLOW.name)
@@ -80,6 +91,44 @@
                 await trio.sleep(LEFT_FRESH_S)
                 self.assertGreater(vms["b-1"].part.level, 1.0)
 
+    @on_mock_clock
+    async def test_lender_whose_answers_all_come_late_is_asked_on(self):
+        """A VM that answers in 0.16 s counts as empty, as one that answers nothing."""
+        fleet = PartsFleet(TWO_VMS, specs=[SLOW])
+        async with fleet.running() as vms:
+            await trio.sleep(SETTLE_S)
+            await self.spend_own(vms["a-1"])
+            self.slow_for(fleet, 0.3)
+            self.assertTrue(await vms["a-1"].lending.take(SLOW.name))
+
+    @on_mock_clock
+    async def test_lender_that_answers_after_a_pause_is_asked_again_at_once(self):
+        """A VM counts as empty for 0.5 s though its answers came meanwhile."""
+        fleet = PartsFleet(TWO_VMS, specs=[SLOW])
+        async with fleet.running() as vms:
+            await trio.sleep(SETTLE_S)
+            await self.spend_own(vms["a-1"])
+            self.pause_for(fleet, 0.3)
+            self.assertFalse(await vms["a-1"].lending.take(SLOW.name))
+            await trio.sleep(DRY_MAX_S)
+            self.assertTrue(await vms["a-1"].lending.take(SLOW.name))
+
+    @on_mock_clock
+    async def test_lender_that_is_always_late_is_given_up(self):
+        """Each request asks a VM whose loans never come in time, and waits for it."""
+        fleet = PartsFleet(TWO_VMS, specs=[SLOW])
+        async with fleet.running() as vms:
+            await trio.sleep(SETTLE_S)
+            await self.spend_own(vms["a-1"])
+            self.slow_for(fleet, 60.0)
+            lending = vms["a-1"].lending
+            self.assertFalse(await lending.take(SLOW.name))
+            self.assertLessEqual(lending.rounds, LATE_ROUNDS)
+            await trio.sleep(DRY_MAX_S)
+            asked = lending.network.sent["loan_request"]
+            self.assertFalse(await lending.take(SLOW.name))
+            self.assertEqual(lending.network.sent["loan_request"], asked)
+
     @on_mock_clock
     async def test_empty_fleet_is_not_asked_longer_than_before(self):
         """A workspace far above its rate costs all VMs a flood of questions.
