Count questions that a lender left unanswered at the same time as one failure

Callers saw: refusals with reason `rate` of a workspace far below its rate, while another VM held its tokens, when a second workspace borrowed at the same moment. Cause: failures are counted for each VM, over all budgets. In one pause of 0.18 s two requests of two workspaces each asked that VM once; the second failure made it count as having nothing for 0.5 s, though nobody had asked it a second time. Now a question counts only if it was asked after the last failure was found. Counted from when it was found, a VM that is gone is given up as soon as before for each budget: the next question counts.

--- a/packages/coordination/plantainshed_coordination/lending.py
+++ b/packages/coordination/plantainshed_coordination/lending.py
@@ -92,6 +92,7 @@
     ----------
     count : int
     last_at : float
+        When the last of them was given up.
     has_answered : bool
         Whether an answer came, though too late to be used.
     """
@@ -100,6 +101,16 @@
     last_at: float = -math.inf
     has_answered: bool = False
 
+    def note(self, asked_at: float):
+        """Count a question that is given up now.
+
+        Several that were under way at once, for different budgets, show only once
+        that the VM does not answer.
+        """
+        if asked_at >= self.last_at:
+            self.count += 1
+            self.last_at = trio.current_time()
+
     def is_last_try(self) -> bool:
         """Tell whether the VM is not to be asked again for a while."""
         return self.count >= (TRIES_OF_LATE if self.has_answered else TRIES_OF_SILENT)
@@ -383,22 +394,22 @@
     ) -> float:
         """Ask a VM for tokens; return what it lent, 0 if it did not answer."""
         request = LoanRequest(budget=name, amount=amount, grant=grant)
+        asked_at = trio.current_time()
         try:
             grant = await self.network.ask(vm, "loan_request", request, LOAN_TIMEOUT_S)
         except PeerError:
-            self._note_no_answer(vm, name, own)
+            self._note_no_answer(vm, name, own, asked_at)
             return 0.0
         self._failures.pop(vm, None)
         self._last_left[name, vm] = HeardLeft(grant.left, trio.current_time())
         return grant.amount
 
-    def _note_no_answer(self, vm: str, name: str, own: Round):
+    def _note_no_answer(self, vm: str, name: str, own: Round, asked_at: float):
         now = trio.current_time()
         failures = self._failures.get(vm)
         if failures is None or now - failures.last_at > SECOND_CHANCE_S:
             failures = self._failures[vm] = Failures()
-        failures.count += 1
-        failures.last_at = now
+        failures.note(asked_at)
         if failures.is_last_try():
             self._last_left[name, vm] = HeardLeft(0.0, now, is_silence=True)
         else:
--- a/tests/coordination/test_lending.py
+++ b/tests/coordination/test_lending.py
@@ -91,6 +91,29 @@
                 await trio.sleep(LEFT_FRESH_S)
                 self.assertGreater(vms["b-1"].part.level, 1.0)
 
+    @on_mock_clock
+    async def test_questions_unanswered_at_once_are_one_failure(self):
+        """A VM counts as empty after one pause, as two workspaces borrowed in it."""
+        other = evolve(SLOW, name="workspace/piccolo")
+        fleet = PartsFleet(TWO_VMS, specs=[SLOW, other])
+        async with fleet.running() as vms:
+            await trio.sleep(SETTLE_S)
+            lending = vms["a-1"].lending
+            answers = []
+
+            async def request(name):
+                answers.append(await lending.take(name))
+
+            for name in (SLOW.name, other.name):
+                part = vms["a-1"].holdings.rate(name)
+                part.try_take(part.available())
+            self.pause_for(fleet, 0.18)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(request, SLOW.name)
+                await trio.sleep(0.02)
+                nursery.start_soon(request, other.name)
+            self.assertEqual(answers, [True, True])
+
     @on_mock_clock
     async def test_lender_whose_answers_all_come_late_is_asked_on(self):
         """A VM that answers in 0.16 s counts as empty, as one that answers nothing."""
