--- a/packages/coordination/plantainshed_coordination/__init__.py
+++ b/packages/coordination/plantainshed_coordination/__init__.py
@@ -11,7 +11,9 @@
 `leases`            doing something alone, judged by each observer's clock
 `budgets`           what is shared: rates and counts (`BudgetSpec`)
 `holdings`          this member's parts of budgets
-`lending`           taking tokens and slots, borrowing what is missing
+`lending`           taking tokens, borrowing what is missing
+`lenders`           what is known of the members that may lend
+`count_loans`       borrowing slots
 `rebalancer`        moving parts to where they are wanted
 `demand_reporter`   telling the rebalancer what is wanted
 `versioned`         a document in the store, changed whole or not at all
--- a/packages/coordination/plantainshed_coordination/budgets.py
+++ b/packages/coordination/plantainshed_coordination/budgets.py
@@ -22,6 +22,7 @@
 RATE_UNITS = 1_000_000
 LOAN_USABLE_S = 0.12
 LOAN_HELD_S = 0.13
+LOAN_TIMEOUT_S = 0.12
 DEMAND_MEMORY_S = 3.0
 WHOLE_TOKEN = 1.0
 ROUNDING = 1e-9
