Wait until a VM of a soak's test was read twice before looking at its run time

Seen: the whole suite, beside other work, failed once: `ran_s` was 0.0 in test_processes_are_read_while_they_run. The program was ready, and ended by the test, before its second reading, 50 ms after the first. It is the test that was wrong: it now waits for the run time, and fails after 20 s without any, as strict as before. `done` is split for it; the tests of signals do the same as before.

--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -1,5 +1,6 @@
 """The soak finds what it is meant to find."""
 
+import contextlib
 import os
 import signal
 import subprocess
@@ -164,21 +165,28 @@
 
 async def done(program: str, *kinds: str) -> Vm:
     """Run a program as a VM does, and do series of signals at it."""
+    async with running(program) as vm:
+        faults = Faults(World(SETTINGS), [vm])
+        with trio.fail_after(20):
+            while not vm.is_ready:
+                await trio.sleep(0.02)
+            await run_signals(faults, [Fault(kind, 0.0, 0.0, 1) for kind in kinds])
+    return vm
+
+
+@contextlib.asynccontextmanager
+async def running(program: str):
+    """Run a program as a VM does; it ends with the block."""
     with tempfile.TemporaryDirectory() as folder:
         settings, log = Path(folder) / "vm-0.ini", Path(folder) / "vm-0.log"
         settings.write_text("")
         log.touch()
         command = (sys.executable, "-c", program, str(settings))
         vm = Vm("vm-0", "domain-0", "127.0.0.1", None, settings, log, [1], command)
-        faults = Faults(World(SETTINGS), [vm])
         async with trio.open_nursery() as nursery:
             nursery.start_soon(vm.run)
-            with trio.fail_after(20):
-                while not vm.is_ready:
-                    await trio.sleep(0.02)
-                await run_signals(faults, [Fault(kind, 0.0, 0.0, 1) for kind in kinds])
+            yield vm
             nursery.cancel_scope.cancel()
-    return vm
 
 
 class TestSignals(unittest.TestCase):
@@ -369,8 +377,10 @@
     @on_real_clock
     async def test_processes_are_read_while_they_run(self):
         """The soak knows of its own stalls only, not of those of its VMs."""
-        vm = await done(MENDED)
-        self.assertGreater(vm.waits.ran_s, 0.0)
+        async with running(MENDED) as vm:
+            with trio.fail_after(20):
+                while not vm.waits.ran_s:
+                    await trio.sleep(0.02)
         self.assertEqual(set(_on_processors([vm])), {"vm-0"})
 
     @on_mock_clock
