--- a/tests/gateway/test_quota_bounds.py
+++ b/tests/gateway/test_quota_bounds.py
@@ -70,7 +70,6 @@
 
 
 class TestPartitionAfterAStart(unittest.TestCase):
-    @unittest.expectedFailure
     @on_mock_clock
     async def test_shares_of_first_counts_do_not_sum_to_more_than_one(self):
         """Guards against parts by the first demand told, kept while news is cut off."""
--- a/tests/measure/test_limits_model.py
+++ b/tests/measure/test_limits_model.py
@@ -77,7 +77,6 @@
         played = self.play(5146, Kind.EARLY, "0.5ms")
         self.assertFalse(played.fullest.is_over, played)
 
-    @unittest.expectedFailure
     def test_a_vm_that_heard_no_holder_yet_takes_no_whole_small_quota(self):
         """Guards against the tolerance's unused part given whole to each VM."""
         played = self.play(9044, Kind.EARLY, "12ms", size=3)
