--- a/packages/gateway/plantainshed_gateway/replication.py
+++ b/packages/gateway/plantainshed_gateway/replication.py
@@ -23,8 +23,8 @@
 FIRST_RETRY_S = 0.1
 LONGEST_RETRY_S = 0.8
 # How long one watch waits for a change, and how much longer its answer may
-# take before the connection counts as dead. Keep-alive probes and peers
-# (`PEER_GRACE_S`) notice a dead one within 3 s; this bounds it without them.
+# take before the watch counts as dead. Polls (`freshness`) and peers
+# (`PEER_GRACE_S`) notice a dead one sooner; this bounds it without them.
 WATCH_S = 20.0
 WATCH_MARGIN_S = 2.0
 # Pause after a change before the next watch. Changes come in clumps, and each
@@ -375,7 +375,7 @@
             self._watching.cancel()
 
     def list_again(self):
-        """Read the whole collection again, after this process was paused."""
+        """Read the whole collection again: its copy may be old or incomplete."""
         self._must_list = True
         self.replica.is_confirmed = False
         self.restart_watch()
