Keep lowered parts low if a ledger write may have been stored

What callers saw: a workspace got more than its rate while the store lost answers, at the cost of others on the same targets.

Cause: write_ledger raised PlatformUnavailable both if nothing was stored and if the answer was lost and the ledger could not be read again. Rebalancer.rebalance restores the lowered parts after this error; in the second case the stored ledger has given the units to others.

Change: the second case raises OutcomeUnknown, which restores nothing. The next version that anyone reads or writes assigns all units again.

The same fault elsewhere: a lease renewal that was stored without an answer made the next one a conflict, so the holder gave up its own lease; statuses from 500 on other than 503 counted as "nothing changed" after a write. Changes of the document look for their change id and were sound.

Left out: an undo that asks the raised holders to forgo their units; see docs/design/limits.md.

--- a/packages/coordination/plantainshed_coordination/leases.py
+++ b/packages/coordination/plantainshed_coordination/leases.py
@@ -13,7 +13,7 @@
 import trio
 from attrs import frozen
 
-from .errors import ObjectMissing, PlatformError, VersionConflict
+from .errors import ObjectMissing, OutcomeUnknown, PlatformError, VersionConflict
 from .platform import ABSENT, Platform
 
 LEASE_KIND = "lease"
@@ -80,11 +80,17 @@
         """Acquire or renew the lease; return whether this candidate holds it."""
         began_at = trio.current_time()
         try:
-            if not self.is_held:
+            if not self.is_held or self.observed is None:
                 await self._read()
                 if not self._can_acquire():
+                    self.renewed_at = -self.ttl_s
                     return False
             await self._write(self.holder)
+        except OutcomeUnknown:
+            # The write may have changed the version, and then the next one would be
+            # rejected. Read the lease again before that.
+            self.observed = None
+            return self.is_held
         except PlatformError:
             return self.is_held
         self.renewed_at = began_at
@@ -96,6 +102,10 @@
             return
         self.renewed_at = -self.ttl_s
         try:
+            if self.observed is None:
+                await self._read()
+                if self.observed.holder != self.holder:
+                    return
             await self._write(FREE)
         except PlatformError:
             # The lease expires by itself, and no caller depends on the release.
--- a/packages/coordination/plantainshed_coordination/ledger.py
+++ b/packages/coordination/plantainshed_coordination/ledger.py
@@ -11,7 +11,12 @@
 from attrs import asdict, evolve, field, frozen
 
 from .budgets import BudgetSpec
-from .errors import ObjectMissing, OutcomeUnknown, VersionConflict
+from .errors import (
+    ObjectMissing,
+    OutcomeUnknown,
+    PlatformUnavailable,
+    VersionConflict,
+)
 from .platform import ABSENT, Platform
 
 LEDGER_KIND = "ledger"
@@ -115,17 +120,22 @@
     VersionConflict
         If the shard was changed since it was read.
     PlatformUnavailable
-        If the store cannot be reached. If this happens when the shard is read again
-        after a lost answer, the write may have taken effect.
+        If the store cannot be reached. The write has not taken effect.
+    OutcomeUnknown
+        If the answer was lost and the shard cannot be read again. The write may have
+        taken effect, or may still do so.
     """
     try:
         version = await platform.put(
             LEDGER_KIND, ledger.shard, ledger.to_bytes(), ledger.object_version
         )
-    except OutcomeUnknown:
+    except OutcomeUnknown as lost:
         # The write may have succeeded although the answer was lost. If it were treated
         # as failed, this writer would continue with parts that the write reassigned.
-        stored = await read_ledger(platform, ledger.shard)
+        try:
+            stored = await read_ledger(platform, ledger.shard)
+        except PlatformUnavailable as error:
+            raise OutcomeUnknown(f"{lost}; not read again: {error}") from error
         if stored.writer != ledger.writer:
             raise VersionConflict(
                 f"{ledger.shard} was changed by another writer"
--- a/packages/coordination/plantainshed_coordination/rebalancer.py
+++ b/packages/coordination/plantainshed_coordination/rebalancer.py
@@ -7,6 +7,7 @@
 """
 
 import contextlib
+from collections.abc import Callable
 
 import trio
 from attrs import evolve
@@ -37,6 +38,8 @@
 LEASE_RETRY_BASE_S = 2.0
 LEASE_RETRY_MAX_S = 120.0
 
+FailureListener = Callable[[str, CoordinationError], None]
+
 
 class Rebalancer:
     """Competes for the lease of one shard and rebalances the shard while holding it.
@@ -48,6 +51,13 @@
     network : PeerNetwork
     membership : Membership
     holdings : Holdings
+
+    Attributes
+    ----------
+    on_failure : callable
+        Called with the shard and the error when a rebalancing attempt failed. If the
+        error is `OutcomeUnknown`, the parts lowered for this attempt stay low until
+        the ledger can be read again.
     """
 
     def __init__(
@@ -69,6 +79,7 @@
         self.writes = 0
         self.attempts = 0
         self.transferred_tokens: TransferredTokens = {}
+        self.on_failure: FailureListener = lambda shard, error: None
 
     async def run(self, candidates):
         """Acquire and renew the lease, and rebalance while it is held.
@@ -117,7 +128,8 @@
     async def _try_rebalance(self):
         try:
             await self.rebalance()
-        except CoordinationError:
+        except CoordinationError as error:
+            self.on_failure(self.shard, error)
             # Read the ledger again, as the stored version is authoritative. Parts
             # that were lowered meanwhile only make the fleet's budget smaller.
             self.ledger = None
@@ -177,10 +189,12 @@
                 raise
 
     async def _undo_reductions(self, reductions: list[Reduction], attempt_id: str):
-        """Restore lowered parts after a write for which the store was unavailable.
+        """Restore lowered parts after a write that has certainly not taken effect.
 
         Parts are lowered before the write. Without this, the fleet would be left with
-        a fraction of each rate until an outage of the store is over.
+        a fraction of each rate until an outage of the store is over. If the outcome of
+        the write is unknown, the parts stay low: other VMs may already use the units,
+        and whoever reads the ledger next assigns all of them again.
         """
         message = RestoreParts(shard=self.shard, mark=attempt_id)
         async with trio.open_nursery() as nursery:
--- a/packages/entry/plantainshed_entry/node.py
+++ b/packages/entry/plantainshed_entry/node.py
@@ -10,7 +10,11 @@
 import trio
 
 from plantainshed_coordination.demand_reporter import DemandReporter
-from plantainshed_coordination.errors import PlatformError
+from plantainshed_coordination.errors import (
+    CoordinationError,
+    OutcomeUnknown,
+    PlatformError,
+)
 from plantainshed_coordination.follower import DocumentFollower
 from plantainshed_coordination.holdings import Holdings
 from plantainshed_coordination.ledger import domain_shard, fleet_shards
@@ -123,13 +127,25 @@
         self._distribute_document()
 
     def _rebalancer(self, shard: str) -> Rebalancer:
-        return Rebalancer(
+        rebalancer = Rebalancer(
             shard,
             self.context.platform,
             self.network,
             self.membership,
             self.holdings,
         )
+        rebalancer.on_failure = self._on_rebalancing_failure
+        return rebalancer
+
+    def _on_rebalancing_failure(self, shard: str, error: CoordinationError):
+        self.log.warning(
+            "ledger not rebalanced",
+            extra={
+                "shard": shard,
+                "problem": str(error),
+                "outcome_unknown": isinstance(error, OutcomeUnknown),
+            },
+        )
 
     def _connect_components(self):
         self.holdings.choose_from_group = self.routing.choose_slots_to_lend
--- a/packages/http/plantainshed_http/platform_client.py
+++ b/packages/http/plantainshed_http/platform_client.py
@@ -12,7 +12,8 @@
 
 ``&wait=S`` limits a wait to S seconds; the status is 304 if nothing has changed
 until then. Error statuses: 412 if the condition of a write fails, 404 if the
-object does not exist, 503 during an outage.
+object does not exist, 503 during an outage. After a write, 503 means that nothing was
+changed; any other status from 500 on leaves it unknown.
 """
 
 import base64
@@ -37,6 +38,8 @@
 STATUS_NOT_FOUND = 404
 STATUS_NOT_MODIFIED = 304
 STATUS_PRECONDITION_FAILED = 412
+STATUS_SERVER_ERROR = 500
+STATUS_OUTAGE = 503
 
 
 class HttpPlatform:
@@ -77,6 +80,8 @@
             raise OutcomeUnknown(f"PUT {path}: {error}") from error
         if head.status == STATUS_PRECONDITION_FAILED:
             raise VersionConflict(f"{kind}/{name} is not at version {expected_version}")
+        if head.status >= STATUS_SERVER_ERROR and head.status != STATUS_OUTAGE:
+            raise OutcomeUnknown(f"PUT {path}: {head.status}")
         _require_success(head, path, body)
         return _parse_version(head)
 
--- a/tests/coordination/test_budget_faults.py
+++ b/tests/coordination/test_budget_faults.py
@@ -8,24 +8,33 @@
 from hypothesis import strategies as st
 
 from plantainshed_coordination.budgets import RATE_UNITS
+from plantainshed_coordination.leases import LEASE_KIND
+from plantainshed_coordination.ledger import LEDGER_KIND
 from plantainshed_measure.tally import ReferenceBucket
 from plantainshed_standins.memory_network import run_deterministically
-from tests.support import FOUR_VMS, WORKSPACE, MemoryFleet
+from tests.support import FOUR_VMS, WORKSPACE, MemoryFleet, StoreAccess
 
 STEP_S = 3.0
 FAULTS = ("loss", "repeat", "jitter", "cut", "store_down", "store_slow", "lost_answers",
           "kill", "restart", "heal", "pause")  # fmt: skip
+LOST_OUTCOMES = ("lost_outcomes", "lost_outcomes_of_leases")
+UNREADABLE_S = (0.0, 1.0, 5.0, 15.0)
 
 
 class FaultyFleet:
     """A fleet under load whose admissions are compared with a single bucket."""
 
     def __init__(self, seed: int):
-        self.fleet = MemoryFleet(FOUR_VMS, seed=seed)
+        self.access: dict[str, StoreAccess] = {}
+        self.fleet = MemoryFleet(FOUR_VMS, seed=seed, platform_of=self._platform_of)
         self.chooser = random.Random(seed)
         self.bucket = ReferenceBucket(WORKSPACE.rate, WORKSPACE.burst)
         self.max_units = 0
 
+    def _platform_of(self, vm):
+        self.access[vm] = StoreAccess(self.fleet.platform)
+        return self.access[vm]
+
     async def ask(self, vm):
         running_vm = self.fleet.vms.get(vm)
         if running_vm is None or not running_vm.membership.is_caught_up():
@@ -68,6 +77,14 @@
             platform.faults.delay_s = 1.0
         elif fault == "lost_answers":
             platform.faults.lose_answers = 4
+        elif fault in LOST_OUTCOMES:
+            kinds = (LEDGER_KIND, LEASE_KIND)
+            for access in self.access.values():
+                access.kinds = (
+                    kinds if fault == "lost_outcomes_of_leases" else kinds[:1]
+                )
+                access.lose_answers = 2
+                access.unreadable_s = self.chooser.choice(UNREADABLE_S)
         elif fault == "kill" and len(alive) > 1:
             vm = self.chooser.choice(alive)
             self.fleet.kill(vm)
@@ -82,6 +99,8 @@
             self.fleet.heal()
             network.loss = network.repeat = network.jitter_s = 0.0
             platform.faults.delay_s = 0.0
+            for access in self.access.values():
+                access.lose_answers = 0
             await platform.set_down(False)
 
 
@@ -89,6 +108,19 @@
     @given(st.lists(st.sampled_from(FAULTS), max_size=8), st.integers(0, 10_000))
     @settings(max_examples=25, derandomize=True, deadline=None)
     def test_fleet_never_exceeds_the_budget(self, faults, seed):
+        self.check(faults, seed)
+
+    @given(
+        st.lists(st.sampled_from((*FAULTS, *LOST_OUTCOMES)), max_size=4),
+        st.sampled_from(LOST_OUTCOMES),
+        st.integers(0, 10_000),
+    )
+    @settings(max_examples=10, derandomize=True, deadline=None)
+    def test_lost_outcomes_of_writes(self, faults, lost, seed):
+        """Guards against units used twice after writes whose outcome is unknown."""
+        self.check([lost, *faults, lost], seed)
+
+    def check(self, faults, seed):
         async def body():
             faulty = FaultyFleet(seed)
             async with faulty.fleet.running(), trio.open_nursery() as nursery:
--- a/tests/coordination/test_leases.py
+++ b/tests/coordination/test_leases.py
@@ -60,6 +60,54 @@
         await trio.sleep(began_at + lease.ttl_s - trio.current_time())
         self.assertFalse(lease.is_held)
 
+    @on_mock_clock
+    async def test_renewal_without_an_answer_does_not_end_the_lease(self):
+        """Guards against a holder that takes its own renewal for another's.
+
+        The store keeps the renewal, but its answer is lost. The version has changed, so
+        the next renewal was rejected, and the lease was given up.
+        """
+        platform = MemoryPlatform()
+        first, second = (Lease(platform, "x", name) for name in ("a~1", "b~1"))
+        await first.try_hold()
+        await second.try_hold()
+        platform.faults.lose_answers = 1
+        for _ in range(6):
+            await trio.sleep(first.renew_interval_s)
+            self.assertTrue(await first.try_hold())
+            self.assertFalse(await second.try_hold())
+
+    @on_mock_clock
+    async def test_release_after_a_lost_answer(self):
+        """Guards against a stop that fails because the last renewal's answer was lost.
+
+        Nor may it release a lease that another candidate has acquired since.
+        """
+        platform = MemoryPlatform()
+        first, second = (Lease(platform, "x", name) for name in ("a~1", "b~1"))
+        await first.try_hold()
+        platform.faults.lose_answers = 1
+        await first.try_hold()
+        await first.release()
+        self.assertTrue(await second.try_hold())
+        first.renewed_at, first.observed = trio.current_time(), None
+        await first.release()
+        self.assertFalse(await Lease(platform, "x", "c~1").try_hold())
+
+    @on_mock_clock
+    async def test_lease_taken_by_another_is_given_up_after_a_lost_answer(self):
+        """Guards against two holders after a lost answer and a late look."""
+        platform = MemoryPlatform()
+        first, second = (Lease(platform, "x", name) for name in ("a~1", "b~1"))
+        await first.try_hold()
+        await second.try_hold()
+        await trio.sleep(first.ttl_s - 0.1)
+        first.observed = None
+        await trio.sleep(0.1)
+        self.assertTrue(await second.try_hold())
+        self.assertFalse(await first.try_hold())
+        self.assertFalse(first.is_held)
+
     @on_mock_clock
     async def test_released_lease_can_be_acquired_at_once(self):
         platform = MemoryPlatform()
--- a/tests/coordination/test_rebalancer.py
+++ b/tests/coordination/test_rebalancer.py
@@ -8,7 +8,13 @@
 from plantainshed_coordination.division import divide
 from plantainshed_coordination.ledger import read_ledger, shard_of
 from plantainshed_coordination.peer_pb2 import LowerParts, Part, SetParts
-from tests.support import FOUR_VMS, WORKSPACE, MemoryFleet, on_mock_clock
+from tests.support import (
+    FOUR_VMS,
+    WORKSPACE,
+    MemoryFleet,
+    StoreAccess,
+    on_mock_clock,
+)
 
 SHARD = shard_of(WORKSPACE)
 
@@ -83,6 +89,82 @@
             await trio.sleep(20)
             self.assertGreater(fleet.units(), RATE_UNITS * 0.99)
 
+    async def move_parts_with_lost_writes(self, unreadable_s) -> int:
+        """Move demand while ledger writes are stored unanswered; return the most units.
+
+        The VM whose write was not answered cannot read the ledger for `unreadable_s`.
+        """
+        access = {}
+
+        def platform_of(vm):
+            access[vm] = StoreAccess(fleet.platform)
+            return access[vm]
+
+        fleet = MemoryFleet(FOUR_VMS, platform_of=platform_of)
+        most_units = 0
+
+        async def record_units():
+            nonlocal most_units
+            while True:
+                most_units = max(most_units, fleet.units())
+                await trio.sleep(0.02)
+
+        async with fleet.running() as vms:
+            await trio.sleep(10)
+            fleet.nursery.start_soon(record_units)
+            for vm in ("a-1", "b-2", "a-2", "b-1"):
+                for one in access.values():
+                    one.lose_answers, one.unreadable_s = 1, unreadable_s
+                await ask_for(vms[vm], 40, 6)
+            self.assertGreater(sum(one.lost for one in access.values()), 1)
+            await trio.sleep(20)
+            self.assertGreater(fleet.units(), RATE_UNITS * 0.99)
+        return most_units
+
+    @on_mock_clock
+    async def test_stored_write_that_cannot_be_read_again_is_not_undone(self):
+        """Guards against units that two VMs use at once after a lost answer.
+
+        The ledger write is stored, its answer is lost, and the rebalancer cannot read
+        the ledger for a moment. The stored version gives the lowered units to other
+        VMs, so the holders that lowered them must not get them back.
+        """
+        self.assertLessEqual(await self.move_parts_with_lost_writes(1.0), RATE_UNITS)
+
+    @on_mock_clock
+    async def test_stored_write_stands_if_its_writer_is_cut_off(self):
+        """Guards against units used twice for as long as a partition lasts.
+
+        The rebalancer lowers its own part. The write is stored, its answer is lost, and
+        then the rebalancer is cut off. The VM that takes over finds the stored version.
+        """
+        access = {}
+
+        def platform_of(vm):
+            access[vm] = StoreAccess(fleet.platform)
+            return access[vm]
+
+        fleet = MemoryFleet(FOUR_VMS, platform_of=platform_of)
+        async with fleet.running() as vms:
+            await trio.sleep(10)
+            (writer,) = [v for v in vms if vms[v].rebalancers[SHARD].lease.is_held]
+            others = [vm for vm in vms if vm != writer]
+            await ask_for(vms[writer], 40, 10)
+            held = vms[writer].part.units
+            access[writer].lose_answers, access[writer].unreadable_s = 1, 1.0
+            while not access[writer].lost:
+                await ask_for(vms[others[-1]], 40, 0.1)
+            access[writer].is_down = True
+            fleet.cut([writer], others)
+            for _ in range(30):
+                await ask_for(vms[others[-1]], 40, 1)
+                self.assertLessEqual(fleet.units(), RATE_UNITS)
+            self.assertLess(vms[writer].part.units, held)
+            access[writer].is_down = False
+            fleet.heal()
+            await trio.sleep(60)
+            self.assertGreater(fleet.units(), RATE_UNITS * 0.99)
+
     @on_mock_clock
     async def test_loans_work_while_the_store_is_down(self):
         fleet = MemoryFleet(FOUR_VMS)
--- a/tests/http/test_platform_client.py
+++ b/tests/http/test_platform_client.py
@@ -53,6 +53,20 @@
                 await platform.put("k", "n", b"one", ABSENT)
             self.assertEqual((await platform.get("k", "n")).value, b"one")
 
+    @on_real_clock
+    async def test_server_error_after_a_write_means_unknown_outcome(self):
+        """Guards against undoing a write that was stored behind an error status."""
+        memory = MemoryPlatform()
+
+        async def answer_with_gateway_timeout(exchange):
+            value = await exchange.read_body(100)
+            await memory.put("k", "n", value, ABSENT)
+            await exchange.reply(504, [])
+
+        async with serving(answer_with_gateway_timeout) as (address, _):
+            with self.assertRaises(OutcomeUnknown):
+                await HttpPlatform(address).put("k", "n", b"one", ABSENT)
+
     @on_real_clock
     async def test_vm_list_and_outage(self):
         memory = MemoryPlatform()
--- a/tests/support.py
+++ b/tests/support.py
@@ -7,9 +7,10 @@
 
 from plantainshed_coordination.budgets import BudgetKind, BudgetSpec
 from plantainshed_coordination.demand_reporter import DemandReporter
+from plantainshed_coordination.errors import OutcomeUnknown, PlatformUnavailable
 from plantainshed_coordination.holdings import Holdings
 from plantainshed_coordination.identity import Identity
-from plantainshed_coordination.ledger import domain_shard, fleet_shards
+from plantainshed_coordination.ledger import LEDGER_KIND, domain_shard, fleet_shards
 from plantainshed_coordination.lending import Lending
 from plantainshed_coordination.members import MemberState
 from plantainshed_coordination.membership import Membership, SeedMember
@@ -54,6 +55,53 @@
     return run
 
 
+class StoreAccess:
+    """One VM's access to the store, which can lose answers and then fail to read.
+
+    Attributes
+    ----------
+    kinds : tuple of str
+        Kinds of objects that are affected.
+    lose_answers : int
+        Number of upcoming writes that are stored but raise `OutcomeUnknown`.
+    unreadable_s : float
+        How long reads fail after a lost answer.
+    is_down : bool
+        Whether every call fails without any effect, except waiting for changes.
+    lost : int
+        Number of answers lost so far.
+    """
+
+    def __init__(self, platform, kinds=(LEDGER_KIND,)):
+        self.platform = platform
+        self.kinds = kinds
+        self.lose_answers = 0
+        self.unreadable_s = 0.0
+        self.unreadable_until = float("-inf")
+        self.is_down = False
+        self.lost = 0
+
+    def __getattr__(self, name):
+        return getattr(self.platform, name)
+
+    async def get(self, kind, name):
+        is_unreadable = trio.current_time() < self.unreadable_until
+        if self.is_down or (is_unreadable and kind in self.kinds):
+            raise PlatformUnavailable(f"GET {kind}/{name}: no answer")
+        return await self.platform.get(kind, name)
+
+    async def put(self, kind, name, value, expected_version):
+        if self.is_down:
+            raise PlatformUnavailable(f"PUT {kind}/{name}: no connection")
+        version = await self.platform.put(kind, name, value, expected_version)
+        if kind in self.kinds and self.lose_answers:
+            self.lose_answers -= 1
+            self.lost += 1
+            self.unreadable_until = trio.current_time() + self.unreadable_s
+            raise OutcomeUnknown(f"PUT {kind}/{name}: no answer")
+        return version
+
+
 class MemoryVm:
     """The coordination components of one VM, without the entry daemon."""
 
