Place requests while most of a pool is ejected; rank all eligible targets

What callers would see: 503 (no_room) for every request of a pool while more than half of its targets are ejected, and objects that stay cold elsewhere after an ejection.

Cause: Registry.usable returns all targets during a false alarm, but placement filtered the ejected ones out again. Cached rankings were computed from the usable targets, so they lacked those that were ejected at that moment until the set of targets changed. If all six ranked targets were ejected, the request was refused.

Tests that failed before: test_requests_are_placed_during_a_false_alarm (choose returned None), test_requests_are_placed_if_all_ranked_targets_are_ejected (None), test_ejection_moves_objects_only_while_it_lasts (owners differ afterwards).

--- a/packages/gateway/plantainshed_gateway/placement.py
+++ b/packages/gateway/plantainshed_gateway/placement.py
@@ -133,10 +133,24 @@
         usable = self.registry.usable(call.pool, call.home_regions)
         if not call.route.is_sticky or call.request.affinity is None:
             return _select_candidates(self._sorted_by_load(usable), OWNERS_PER_OBJECT)
+        # Rankings are cached, so they contain all eligible targets. Ejections are too
+        # short to move objects for longer than they last.
+        eligible = self.registry.eligible(call.pool, call.home_regions)
         if self._is_far(call.route):
-            return self._regional_owners(call, usable)
+            candidates = self._regional_owners(call, eligible, set(usable))
+        else:
+            candidates = self._fleet_owners(call, eligible, set(usable))
+        if candidates.owners or candidates.cold:
+            return candidates
+        return _select_candidates(_ranked(_object_key(call), usable), OWNERS_PER_OBJECT)
+
+    def _fleet_owners(
+        self, call: Call, eligible: list[TargetState], usable: set[TargetState]
+    ) -> _Candidates:
+        """Return the owners in the whole fleet, the second one first if needed."""
+        ranking = self._ranked_by_object(call, eligible)
         candidates = _select_candidates(
-            self._ranked_by_object(call, usable), OWNERS_PER_OBJECT
+            [state for state in ranking if state in usable], OWNERS_PER_OBJECT
         )
         if len(candidates.owners) == OWNERS_PER_OBJECT:
             first, second = candidates.owners
@@ -156,26 +170,30 @@
             self._far_routes.discard(route.name)
         return route.name in self._far_routes
 
-    def _regional_owners(self, call: Call, usable: list[TargetState]) -> _Candidates:
+    def _regional_owners(
+        self, call: Call, eligible: list[TargetState], usable: set[TargetState]
+    ) -> _Candidates:
         """Return each region's owner, ordered by expected response time.
 
         Cold targets are included for the local region only.
         """
         candidates = _Candidates()
-        for region, states in self._ranked_by_region(call, usable):
-            in_region = _select_candidates(states, 1)
+        for region, ranking in self._ranked_by_region(call, eligible):
+            in_region = _select_candidates(
+                [state for state in ranking if state in usable], 1
+            )
             candidates.owners += in_region.owners
             if region == self.region:
                 candidates.cold = in_region.cold
         candidates.owners.sort(key=self._expected_s)
         return candidates
 
-    def _ranked_by_region(self, call: Call, usable: list[TargetState]) -> tuple:
+    def _ranked_by_region(self, call: Call, eligible: list[TargetState]) -> tuple:
         """Return the regions that own an object, each with its ranked targets."""
 
         def rank(object_key: str) -> tuple:
             by_region: dict[str, list[TargetState]] = {}
-            for state in _ranked(object_key, usable):
+            for state in _ranked(object_key, eligible):
                 region = self.registry.region_of.get(state.entry.failure_domain, "")
                 by_region.setdefault(region, []).append(state)
             owning = _owning_regions(object_key, by_region) or by_region
@@ -194,10 +212,12 @@
         shuffled = self.random.sample(usable, len(usable))
         return sorted(shuffled, key=lambda state: (state.is_cold, state.occupancy))
 
-    def _ranked_by_object(self, call: Call, usable: list[TargetState]) -> tuple:
+    def _ranked_by_object(self, call: Call, eligible: list[TargetState]) -> tuple:
         """Return an object's highest-ranked targets in the whole fleet."""
         return self._cached_ranking(
-            call, "fleet", lambda key: tuple(_ranked(key, usable)[:MAX_RANKED_TARGETS])
+            call,
+            "fleet",
+            lambda key: tuple(_ranked(key, eligible)[:MAX_RANKED_TARGETS]),
         )
 
     def _cached_ranking(
@@ -213,7 +233,7 @@
         rank : callable
             Computes the ranking from the object's key.
         """
-        object_key = f"{call.route.name}/{call.request.affinity}"
+        object_key = _object_key(call)
         cache_key = (object_key, kind, call.pool, call.home_regions)
         cached = self._cache.get(cache_key)
         # The weights of new targets ramp up in steps of one second. When no ramp is
@@ -235,9 +255,13 @@
         return ranking
 
 
-def _ranked(object_key: str, usable: list[TargetState]) -> list[TargetState]:
+def _object_key(call: Call) -> str:
+    return f"{call.route.name}/{call.request.affinity}"
+
+
+def _ranked(object_key: str, states: list[TargetState]) -> list[TargetState]:
     return sorted(
-        usable,
+        states,
         key=lambda s: weighted_score(object_key, s.entry.instance, s.weight),
         reverse=True,
     )
@@ -264,14 +288,13 @@
     ]
 
 
-def _select_candidates(ranking: tuple | list, count: int) -> _Candidates:
-    """Return the first `count` healthy (not ejected), warm targets as owners.
+def _select_candidates(usable: list[TargetState], count: int) -> _Candidates:
+    """Return the first `count` warm targets of a ranking as owners.
 
-    Healthy cold targets that rank before the last owner are returned too; if there
-    are fewer than `count` owners, all healthy cold targets are returned.
+    Cold targets that rank before the last owner are returned too; if there are fewer
+    than `count` owners, all cold targets are returned.
     """
-    healthy = [state for state in ranking if not state.is_ejected]
-    owners = [state for state in healthy if not state.is_cold][:count]
-    last = healthy.index(owners[-1]) if len(owners) == count else len(healthy)
-    cold = [state for state in healthy[:last] if state.is_cold]
+    owners = [state for state in usable if not state.is_cold][:count]
+    last = usable.index(owners[-1]) if len(owners) == count else len(usable)
+    cold = [state for state in usable[:last] if state.is_cold]
     return _Candidates(cold, owners)
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -9,7 +9,12 @@
 from plantainshed_gateway.placement import Placement
 from plantainshed_gateway.ports import TargetLoad
 from plantainshed_gateway.queueing import QueueLimits
-from plantainshed_gateway.registry import EXPIRY_GRACE_S, Registry
+from plantainshed_gateway.registry import (
+    EXPIRY_GRACE_S,
+    FAILURES_TO_EJECT,
+    INITIAL_EJECTION_S,
+    Registry,
+)
 from plantainshed_gateway.splitting import Splitter
 from tests.gateway.gateway_support import (
     BOUNDS,
@@ -52,8 +57,8 @@
     )
 
 
-def find_owners(registry: Registry, objects=200) -> dict[str, str]:
-    placement = make_placement(registry)
+def find_owners(registry: Registry, objects=200, placement=None) -> dict[str, str]:
+    placement = placement or make_placement(registry)
     return {
         str(n): placement.choose(
             make_call(ROUTE, str(n)), CONFIGURATION, set(), VMS
@@ -218,6 +223,48 @@
             state.note_unreachable()
         self.assertEqual(len(registry.usable("calendario", frozenset())), 10)
 
+    @on_mock_clock
+    async def test_requests_are_placed_during_a_false_alarm(self):
+        """Guards against refusing every request because all targets seem to fail."""
+        registry = make_registry()
+        owners = find_owners(registry)
+        for state in registry.states.values():
+            for _ in range(FAILURES_TO_EJECT):
+                state.note_failure()
+        self.assertEqual(find_owners(registry), owners)
+
+    @on_mock_clock
+    async def test_ejection_moves_objects_only_while_it_lasts(self):
+        """Guards against VMs that disagree on owners after an ejection.
+
+        Rankings that were computed during the ejection lacked the ejected target until
+        the set of targets changed.
+        """
+        registry = make_registry()
+        placement = make_placement(registry)
+        owners = find_owners(registry)
+        state = registry.states["i-3"]
+        for _ in range(FAILURES_TO_EJECT):
+            state.note_failure()
+        during = find_owners(registry, placement=placement)
+        self.assertNotIn("i-3", during.values())
+        state.note_success()
+        await trio.sleep(INITIAL_EJECTION_S + 0.1)
+        self.assertEqual(find_owners(registry, placement=placement), owners)
+
+    @on_mock_clock
+    async def test_requests_are_placed_if_all_ranked_targets_are_ejected(self):
+        """Guards against refusals while healthy targets rank too low to be listed."""
+        registry = make_registry(30)
+        placement = make_placement(registry)
+        ranked = placement._ranked_by_object(
+            make_call(ROUTE, "1"), registry.eligible("calendario", frozenset())
+        )
+        for state in ranked:
+            state.note_unreachable()
+        chosen = placement.choose(make_call(ROUTE, "1"), CONFIGURATION, set(), VMS)
+        self.assertFalse(chosen.is_ejected)
+
     @on_mock_clock
     async def test_targets_whose_entries_expired_together_stay_usable(self):
         """Targets' entries expire while the store is down.
