Eject targets that answer nobody

What callers saw: 504 after the whole timeout for each request for an object of a frozen target, until its entry left the store.

Cause: a frozen process's kernel accepts connections and requests, so the requests ended by timeout, and a timeout counted as nobody's failure. The log had no line for such an attempt; there is one now (attempt failed, target_silent).

Change: a cancelled attempt counts as failed if its target answered no request of this VM for half of the route's timeout. A target that has not answered since its ejection gets one request at a time, and the next failure ejects it again. A timeout alone doesn't count: single runs may be long, and callers may set deadlines in which nobody can answer.

Test: TestTime.test_target_that_answers_nobody_is_left_out, unchanged, was an expectedFailure (504 != 200) and passes. New: one request at a time after an ejection (all six went to the target before), a target that answers others, short deadlines.

--- a/packages/gateway/plantainshed_gateway/forwarding.py
+++ b/packages/gateway/plantainshed_gateway/forwarding.py
@@ -113,6 +113,7 @@
     ) -> Answer:
         for _ in range(1 + MAX_SKIPPED_ANSWERS):
             head = await connection.response_head()
+            state.note_answer()
             metadata = self.wire.read_answer(head)
             if metadata.request_id in (None, call.request.request_id):
                 break
--- a/packages/gateway/plantainshed_gateway/reasons.py
+++ b/packages/gateway/plantainshed_gateway/reasons.py
@@ -21,6 +21,7 @@
     CONNECTION_BROKEN = "connection_broken"
     SPOILT_ANSWER = "spoilt_answer"
     TARGET_ERROR = "target_error"
+    TARGET_SILENT = "target_silent"
     CALLER_LEFT = "caller_left"
     POISON = "poison"
     WAS_PAUSED = "was_paused"
--- a/packages/gateway/plantainshed_gateway/registry.py
+++ b/packages/gateway/plantainshed_gateway/registry.py
@@ -29,6 +29,10 @@
 # How long a target is ejected after it refused a connection or another instance
 # answered at its address. Its entry is removed within a few heartbeats of 1.5 s.
 UNREACHABLE_EJECTION_S = 1.5
+# Fraction of a route's timeout for which a target must have answered no request of this
+# VM before an unanswered request counts as failed. Callers may set far shorter
+# deadlines, and the first run for an object takes up to a quarter of the timeout.
+MIN_SILENCE_FRACTION = 0.5
 # Maximum age of a target's load report.
 LOAD_MAX_AGE_S = 1.0
 # Time in which a new target's share of objects grows to its full size. The ramp
@@ -56,6 +60,8 @@
         Requests from this VM that are in flight to the target.
     load, load_at, in_flight_at_load
         The target's last load report, when it arrived, and `in_flight` at that time.
+    answered_at : float
+        When the target last answered a request of this VM.
     failures, ejections : int
         Consecutive failures, and ejections since the last success.
     ejected_until : float
@@ -71,6 +77,7 @@
     load: TargetLoad | None = None
     load_at: float = float("-inf")
     in_flight_at_load: int = 0
+    answered_at: float = float("-inf")
     failures: int = 0
     ejections: int = 0
     ejected_until: float = 0.0
@@ -91,6 +98,23 @@
         """Whether the target is ejected and receives no requests."""
         return self.ejected_until > trio.current_time()
 
+    @property
+    def is_on_trial(self) -> bool:
+        """Whether an ejection has ended and the target has not answered since.
+
+        It then gets one request at a time, and the next failure ejects it again.
+        """
+        return (
+            self.ejections > 0
+            and not self.is_ejected
+            and self.answered_at < self.ejected_until
+        )
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether the target may receive a request now."""
+        return not self.is_ejected and not (self.is_on_trial and self.in_flight)
+
     @property
     def weight(self) -> float:
         """Weight in the distribution of objects over targets, from 0.1 to 1."""
@@ -128,10 +152,31 @@
         self.failures = 0
         self.ejections = 0
 
+    def note_answer(self):
+        """Record that the target answered a request, whatever the answer is."""
+        self.answered_at = trio.current_time()
+
+    def is_silent_since(self, sent_at: float, timeout_s: float) -> bool:
+        """Return whether an unanswered request shows that the target is down.
+
+        The kernel of a frozen target still accepts connections and requests, so only
+        missing answers show it. A target that answers other requests meanwhile is
+        alive, however long this one takes.
+
+        Parameters
+        ----------
+        sent_at : float
+            When the request was sent.
+        timeout_s : float
+            Timeout of the request's route.
+        """
+        silent_s = trio.current_time() - max(sent_at, self.answered_at)
+        return silent_s >= MIN_SILENCE_FRACTION * timeout_s
+
     def note_failure(self):
         """Count a failed request, and eject the target after several in a row."""
         self.failures += 1
-        if self.failures < FAILURES_TO_EJECT:
+        if self.failures < FAILURES_TO_EJECT and not self.is_on_trial:
             return
         seconds = min(MAX_EJECTION_S, INITIAL_EJECTION_S * 2**self.ejections)
         self.ejected_until = max(self.ejected_until, trio.current_time() + seconds)
@@ -302,13 +347,13 @@
         ]
 
     def usable(self, pool: str, home_regions: frozenset[str]) -> list[TargetState]:
-        """Return the healthy targets of a pool, which are those not ejected.
+        """Return the targets of a pool that are neither ejected nor busy with a trial.
 
-        If more than half of the pool is ejected, all of its targets are returned,
-        so that false failure detections cannot empty a pool.
+        If these are less than half of the pool, all of its targets are returned, so
+        that false failure detections cannot empty a pool.
         """
         eligible = self.eligible(pool, home_regions)
-        healthy = [state for state in eligible if not state.is_ejected]
+        healthy = [state for state in eligible if state.is_usable]
         if len(healthy) < len(eligible) * MAX_EJECTED_FRACTION:
             return eligible
         return healthy
--- a/packages/gateway/plantainshed_gateway/serving.py
+++ b/packages/gateway/plantainshed_gateway/serving.py
@@ -244,6 +244,9 @@
             if failure.reason is Reason.CONNECTION_BROKEN and failure.may_have_run:
                 await self._check_crashed(call, state)
             return failure
+        except trio.Cancelled:
+            self._check_silent(call, state, began_at)
+            raise
         finally:
             state.in_flight -= 1
         if answer.head.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
@@ -281,6 +284,14 @@
             seconds_left=round(call.seconds_left, 3),
         )
 
+    def _check_silent(self, call: Call, state: TargetState, sent_at: float):
+        """Count a cancelled attempt as failed if its target answered nobody."""
+        if state.is_silent_since(sent_at, call.route.timeout_s):
+            silence = AttemptFailed(
+                Reason.TARGET_SILENT, "no answer to this or any other request", True
+            )
+            self._record_failure(call, state, silence)
+
     async def _check_crashed(self, call: Call, state: TargetState):
         """Check whether the target crashed or only its answer was lost.
 
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -1,5 +1,6 @@
 import contextlib
 import unittest
+from functools import partial
 
 import trio
 
@@ -281,7 +282,6 @@
 
 
 class TestTime(unittest.TestCase):
-    @unittest.expectedFailure
     @on_real_clock
     async def test_target_that_answers_nobody_is_left_out(self):
         """Every request for an object of a frozen target used up its timeout."""
@@ -295,6 +295,59 @@
             status, _, _ = await system.ask(affinity_key="42")
             self.assertEqual(status, 200)
 
+    @on_real_clock
+    async def test_silent_target_gets_one_request_at_a_time_after_its_ejection(self):
+        """Guards against losing all requests again each time an ejection ends.
+
+        Once the target answers, it gets all requests for its objects again.
+        """
+        async with running_system() as system:
+            await system.ask(affinity_key="42")
+            owner = next(target for target in system.targets if target.runs)
+            state = system.gateway.registry.states[owner.instance]
+            owner.run_time_s = 3600.0
+            async with trio.open_nursery() as nursery:
+                for _ in range(FAILURES_TO_EJECT):
+                    nursery.start_soon(partial(system.ask, affinity_key="42"))
+            await system.until(lambda: not state.is_ejected)
+            runs = len(owner.runs)
+            async with trio.open_nursery() as nursery:
+                for _ in range(6):
+                    nursery.start_soon(partial(system.ask, affinity_key="42"))
+            self.assertEqual(len(owner.runs), runs + 1)
+            self.assertTrue(state.is_ejected)
+            owner.run_time_s, owner.slots = 0.0, 99
+            await system.until(lambda: not state.is_ejected)
+            for _ in range(4):
+                status, _, _ = await system.ask(affinity_key="42")
+                self.assertEqual(status, 200)
+            self.assertEqual(len(owner.runs), runs + 5)
+
+    @on_real_clock
+    async def test_target_that_answers_others_is_not_left_out(self):
+        """Guards against ejecting a target for a few runs that take too long."""
+        async with running_system(1) as system:
+            target = system.targets[0]
+            target.run_time_s = 3600.0
+            async with trio.open_nursery() as nursery:
+                for _ in range(FAILURES_TO_EJECT):
+                    nursery.start_soon(system.ask)
+                await system.until(lambda: target.running == FAILURES_TO_EJECT)
+                target.run_time_s = 0.0
+                for _ in range(12):
+                    await system.ask("/book/1", "POST")
+                    await trio.sleep(0.1)
+            self.assertEqual(system.lines("attempt failed"), [])
+
+    @on_real_clock
+    async def test_short_deadlines_of_callers_do_not_eject_a_target(self):
+        """Guards against callers who wait so briefly that no target can answer."""
+        async with running_system(run_time_s=0.4) as system:
+            for _ in range(FAILURES_TO_EJECT + 1):
+                status, _, _ = await system.ask(deadline_ms="200")
+                self.assertEqual(status, 504)
+            self.assertEqual(system.lines("attempt failed"), [])
+
     @on_real_clock
     async def test_request_gets_504_at_the_route_timeout(self):
         routes = [route(timeout="200ms", targetLatency="100ms", attempts=1)]
