Take an entry for an earlier run's only if nothing was written before

What callers would see: a workspace over its quota while a new VM that others cannot hear uses a share that nobody counts; and requests to the old address of a replaced VM.

Cause: if the store kept a new VM's entry without answering, the next list contained it, or the next create was rejected, and VmListReader took either for a sign that the VM had been listed before this start. Its list then counted as complete without another VM. Beside it, a rejected replacement of an entry with another address was suppressed.

Evidence: test_vm_that_nobody_counts_has_no_share, shares sum to 2.0 before, 1.0 now. Also failed before: test_own_registration_without_an_answer_is_not_an_earlier_entry, test_replacement_without_an_answer_is_not_an_earlier_entry, test_rejected_replacement_is_tried_again.

make model gets the kind lost-writes (half of the writes unanswered, the store silent for 1 s after one, first starts with an early cut).

--- a/packages/gateway/plantainshed_gateway/vm_list.py
+++ b/packages/gateway/plantainshed_gateway/vm_list.py
@@ -12,8 +12,6 @@
 until another VM knows the same VMs.
 """
 
-import contextlib
-
 import trio
 
 from .errors import ItemExists, StoreUnavailable
@@ -72,6 +70,7 @@
         self.first_read = trio.Event()
         self.was_listed_before = False
         self._is_registered = False
+        self._has_written = False
         self._newest_revision = 0
         self._names: set[str] = set()
         self._confirm_pause_s = CONFIRM_PAUSE_S
@@ -85,7 +84,7 @@
                 pause_s = await self._apply(snapshot)
                 if not self._is_registered:
                     await self._register()
-                    pause_s = CONFIRM_PAUSE_S
+                    pause_s = CONFIRM_PAUSE_S if self._is_registered else pause_s
             except StoreUnavailable as error:
                 self.log.event("list of VMs not read", problem=str(error))
                 pause_s = REGISTER_RETRY_S
@@ -93,20 +92,35 @@
             await trio.sleep(pause_s)
 
     async def _register(self):
+        """Write this VM's entry, unless the store has it already."""
         value = self._own_value()
+        # If the answer to an earlier write was lost, an existing entry may be from it.
+        is_first_write = not self._has_written
+        self._has_written = True
         try:
             await self.store.create(Collection.VMS, self.members.own.vm, value)
         except ItemExists as error:
-            # The entry is from an earlier run. A replacement machine with the same
-            # name may have a different address.
-            if error.item is not None and error.item.value != value:
-                with contextlib.suppress(ItemExists):
-                    await self.store.replace(Collection.VMS, error.item, value)
-            else:
-                self.was_listed_before = True
+            if error.item is None or error.item.value == value:
+                self.was_listed_before |= is_first_write
+            elif not await self._replace(error.item, value):
+                return
         self._is_registered = True
         self._entry_seen_at = trio.current_time()
-        self.log.event("registered", ip=self.ip)
+        self.log.event(
+            "registered", ip=self.ip, was_listed_before=self.was_listed_before
+        )
+
+    async def _replace(self, item: Item, value: dict[str, str]) -> bool:
+        """Replace the entry of an earlier run; return whether it still was the same.
+
+        A replacement machine with the same name may have a different address.
+        """
+        try:
+            await self.store.replace(Collection.VMS, item, value)
+        except ItemExists as error:
+            self.log.event("registration rejected", problem=str(error))
+            return False
+        return True
 
     def _own_value(self) -> dict[str, str]:
         return {"ip": self.ip, "failure_domain": self.members.own.failure_domain}
@@ -143,8 +157,12 @@
             return False
         self._entry_seen_at = now
         if not self._is_registered:
-            # The entry of an earlier run is still valid.
-            self._is_registered = self.was_listed_before = True
+            self._is_registered = True
+            # Without a write since the start, the entry is from an earlier run.
+            self.was_listed_before |= not self._has_written
+            self.log.event(
+                "registered", ip=self.ip, was_listed_before=self.was_listed_before
+            )
         if snapshot.revision < self._newest_revision:
             return False
         self._newest_revision = snapshot.revision
--- a/packages/measure/plantainshed_measure/limits_faults.py
+++ b/packages/measure/plantainshed_measure/limits_faults.py
@@ -42,6 +42,7 @@
     JOINING = "joining"
     REPLACED = "replaced"
     FIRST_START = "first-start"
+    LOST_WRITES = "lost-writes"
     QUOTA = "quota"
     ALL_OFF = "all-off"
     STORE = "store"
@@ -51,8 +52,14 @@
 
 
 # Kinds in which answers of the store may be old, and the largest age of one.
-OLD_ANSWER_KINDS = (FaultKind.REPLACED, FaultKind.FIRST_START)
+OLD_ANSWER_KINDS = (FaultKind.REPLACED, FaultKind.FIRST_START, FaultKind.LOST_WRITES)
 OLD_ANSWER_S = 3.0
+# Kinds in which the store does not list the VMs before they start.
+UNLISTED_KINDS = (FaultKind.FIRST_START, FaultKind.LOST_WRITES)
+# Share of the writes whose answers are lost, and how long the store then answers
+# nothing to the writer.
+LOST_WRITES_SHARE = 0.5
+UNREADABLE_S = 1.0
 # Kinds that faults drawn for a mix do not include.
 NOT_MIXED = (FaultKind.ALL_OFF, FaultKind.REPLACED)
 CUT_KINDS = (FaultKind.ISOLATED, FaultKind.SPLIT, FaultKind.ONE_WAY)
@@ -93,7 +100,7 @@
     """Draw the faults of a simulation."""
     if kind in (FaultKind.CALM, FaultKind.FIRST_START):
         return []
-    if kind is FaultKind.EARLY:
+    if kind in (FaultKind.EARLY, FaultKind.LOST_WRITES):
         fault = _draw_fault(rng.choice(CUT_KINDS), rng, locations, seconds)
         length_s = fault.ends_at - fault.starts_at
         starts_at = rng.uniform(*EARLY_START_S)
--- a/packages/measure/plantainshed_measure/limits_model.py
+++ b/packages/measure/plantainshed_measure/limits_model.py
@@ -280,6 +280,8 @@
     workspaces : dict of str to Workspace
         The newest configuration.
     is_store_down : bool
+    is_store_apart : bool
+        Whether VMs that are cut off from all others can still reach the store.
     target_search_s : float or None
         While no target accepts requests: how long a VM searches for one before it
         gives up. None while targets accept requests.
@@ -297,6 +299,7 @@
     region_of: dict[str, str] = field(factory=dict)
     seeds: tuple[str, ...] = ()
     is_store_down: bool = False
+    is_store_apart: bool = False
     target_search_s: float | None = None
     nursery: trio.Nursery | None = None
     incarnation: int = 0
@@ -333,10 +336,11 @@
     def can_reach_store(self, ip: str) -> bool:
         """Return whether the store answers a VM.
 
-        A VM that can exchange datagrams with no other VM is cut off from the store too.
+        Unless the store is apart from the VMs' network, a VM that can exchange
+        datagrams with no other VM is cut off from the store too.
         """
-        if self.is_store_down:
-            return False
+        if self.is_store_down or self.is_store_apart:
+            return not self.is_store_down
         others = [
             location.ip for location in self.locations.values() if location.ip != ip
         ]
--- a/packages/measure/plantainshed_measure/limits_search.py
+++ b/packages/measure/plantainshed_measure/limits_search.py
@@ -34,8 +34,11 @@
 )
 from .limits_demand import draw_load_phases, draw_workspaces, send_requests
 from .limits_faults import (
+    LOST_WRITES_SHARE,
     OLD_ANSWER_KINDS,
     OLD_ANSWER_S,
+    UNLISTED_KINDS,
+    UNREADABLE_S,
     Fault,
     FaultKind,
     draw_faults,
@@ -309,7 +312,7 @@
             one.failure_domain: one.region for one in self.locations
         }
         self.fleet.seeds = tuple(location.ip for location in self.locations[:REGIONS])
-        if self.case.kind is not FaultKind.FIRST_START:
+        if self.case.kind not in UNLISTED_KINDS:
             for location in self.locations:
                 self.fleet.register(location)
         self.faults = draw_faults(
@@ -320,6 +323,10 @@
         if self.case.kind in OLD_ANSWER_KINDS:
             self.fleet.store.max_age_s = OLD_ANSWER_S
             self.fleet.store.rng = random.Random(f"store {self.case.seed}")
+        if self.case.kind is FaultKind.LOST_WRITES:
+            self.fleet.store.lost_writes = LOST_WRITES_SHARE
+            self.fleet.store.unreadable_s = UNREADABLE_S
+            self.fleet.is_store_apart = True
 
     def _draw_conditions(self) -> NetworkConditions:
         return NetworkConditions(
@@ -367,7 +374,7 @@
             nursery.cancel_scope.cancel()
 
     async def _start_later(self, location: VmLocation):
-        is_first = self.case.kind is FaultKind.FIRST_START
+        is_first = self.case.kind in UNLISTED_KINDS
         spread_s = FIRST_START_SPREAD_S if is_first else START_SPREAD_S
         await trio.sleep(self.rng.uniform(0.0, spread_s))
         self.fleet.start(location)
--- a/packages/measure/plantainshed_measure/limits_store.py
+++ b/packages/measure/plantainshed_measure/limits_store.py
@@ -37,14 +37,20 @@
         Each state and the time since which it is in force, oldest first.
     max_age_s : float
         Largest age of an answer for which the caller allows one.
+    lost_writes : float
+        Share of the writes that take effect but are not answered.
+    unreadable_s : float
+        How long the store answers nothing to a VM after it lost an answer to it.
     rng : random.Random
-        Draws the ages of answers.
+        Draws the ages of answers, and which answers are lost.
     """
 
     states: list[tuple[float, dict[str, Item]]] = field(
         factory=lambda: [(float("-inf"), {})]
     )
     max_age_s: float = 0.0
+    lost_writes: float = 0.0
+    unreadable_s: float = 0.0
     rng: random.Random = field(factory=lambda: random.Random(0))
 
     @property
@@ -89,6 +95,7 @@
 
     store: ModelStore
     user: StoreUser
+    unreadable_until: float = float("-inf")
 
     async def list(self, collection: Collection, allow_stale: bool = False) -> Snapshot:
         """Return the list, whose pages are read one after the other."""
@@ -110,7 +117,7 @@
         await self._call()
         if name in self.store.newest:
             raise ItemExists(self.store.newest[name])
-        self.store.put(name, value)
+        self._put(name, value)
 
     async def replace(self, collection: Collection, item: Item, value: dict):
         """Replace an item unless it has changed since."""
@@ -118,10 +125,17 @@
         current = self.store.newest.get(item.name)
         if current is None or current.revision != item.revision:
             raise ItemExists(current)
-        self.store.put(item.name, value)
+        self._put(item.name, value)
+
+    def _put(self, name: str, value: dict):
+        self.store.put(name, value)
+        if self.store.lost_writes and self.store.rng.random() < self.store.lost_writes:
+            self.unreadable_until = trio.current_time() + self.store.unreadable_s
+            raise StoreUnavailable("no answer")
 
     async def _call(self):
         await trio.sleep(CALL_S)
         await self.user.wait_until_resumed()
-        if not self.user.can_reach_store():
+        is_unreadable = trio.current_time() < self.unreadable_until
+        if is_unreadable or not self.user.can_reach_store():
             raise StoreUnavailable("no answer")
--- a/tests/gateway/test_vm_list.py
+++ b/tests/gateway/test_vm_list.py
@@ -38,11 +38,21 @@
 
 
 class ScriptedStore:
-    """A store whose answers are given in advance; the last one is repeated."""
+    """A store whose answers are given in advance; the last one is repeated.
 
-    def __init__(self, *answers, existing=None):
+    Attributes
+    ----------
+    lose_answers : int
+        Number of upcoming writes that are stored but not answered.
+    conflicts : int
+        Number of upcoming replacements that are rejected.
+    """
+
+    def __init__(self, *answers, existing=None, lose_answers=0, conflicts=0):
         self.answers = list(answers)
         self.existing = existing
+        self.lose_answers = lose_answers
+        self.conflicts = conflicts
         self.reads_at = []
         self.created = 0
 
@@ -50,9 +60,21 @@
         self.created += 1
         if self.existing is not None:
             raise ItemExists(Item(name, 1, self.existing))
+        if self.lose_answers:
+            self.existing = value
+            self._lose_answer()
 
     async def replace(self, collection, item, value):
+        if self.conflicts:
+            self.conflicts -= 1
+            raise ItemExists(Item(item.name, 2, {"ip": "10.8.8.8"}))
         self.existing = value
+        if self.lose_answers:
+            self._lose_answer()
+
+    def _lose_answer(self):
+        self.lose_answers -= 1
+        raise StoreUnavailable("no answer")
 
     async def list(self, collection, allow_stale=False):
         self.reads_at.append(trio.current_time())
@@ -71,9 +93,9 @@
     return Snapshot(tuple(entry(number) for number in numbers), revision)
 
 
-async def read(store, members, seconds) -> FakePeers:
+async def read(store, members, seconds, log=None) -> FakePeers:
     peers = FakePeers()
-    reader = VmListReader(store, members, IP, peers, RecordingLog())
+    reader = VmListReader(store, members, IP, peers, log or RecordingLog())
     with trio.move_on_after(seconds):
         await reader.run()
     return peers
@@ -132,6 +154,35 @@
         await exchange.compare("vm-1", hear(members, 1, 2), "10.0.0.1")
         self.assertTrue(members.is_listed)
 
+    @on_mock_clock
+    async def test_own_registration_without_an_answer_is_not_an_earlier_entry(self):
+        """Guards against a new VM that takes its own write for an earlier run's entry.
+
+        The store kept the entry, but its answer was lost. Whether the next list already
+        contains the entry or not, no other VM counts this VM yet.
+        """
+        for answers in (
+            [listing(1), listing(0, 1)],
+            [listing(1), listing(1), listing(1), listing(0, 1)],
+        ):
+            members = make_members()
+            store = ScriptedStore(*answers, lose_answers=1)
+            await read(store, members, 20)
+            self.assertTrue(members.is_list_confirmed)
+            self.assertFalse(members.is_listed)
+
+    @on_mock_clock
+    async def test_replacement_without_an_answer_is_not_an_earlier_entry(self):
+        """Guards against the same for the rewritten entry of a replaced machine."""
+        members = make_members()
+        before = Snapshot((entry(0, ip="10.9.9.9"), entry(1)), 1)
+        store = ScriptedStore(
+            before, listing(0, 1), existing={"ip": "10.9.9.9"}, lose_answers=1
+        )
+        await read(store, members, 20)
+        self.assertTrue(members.is_list_confirmed)
+        self.assertFalse(members.is_listed)
+
     @on_mock_clock
     async def test_lone_vm_completes_its_list(self):
         """Guards against a fleet of one VM that waits for others forever."""
@@ -165,6 +216,17 @@
         await read(store, members, 1)
         self.assertEqual(store.existing, entry(0).value)
 
+    @on_mock_clock
+    async def test_rejected_replacement_is_tried_again(self):
+        """Guards against a VM that believes itself registered under an old address."""
+        log = RecordingLog()
+        before = Snapshot((entry(0, ip="10.9.9.9"),), 1)
+        store = ScriptedStore(before, existing={"ip": "10.9.9.9"}, conflicts=1)
+        await read(store, make_members(), ENTRY_LOST_S / 2, log)
+        self.assertEqual(store.existing, entry(0).value)
+        events = [event for event, _ in log.events]
+        self.assertEqual(events.count("registered"), 1)
+
     @on_mock_clock
     async def test_removed_entry_of_running_vm_is_registered_again(self):
         """Guards against a running VM that stays missing from the store's list."""
--- a/tests/measure/test_limits_membership.py
+++ b/tests/measure/test_limits_membership.py
@@ -121,6 +121,32 @@
             nursery.cancel_scope.cancel()
 
 
+class TestLostWrites(unittest.TestCase):
+    @on_mock_clock
+    async def test_vm_that_nobody_counts_has_no_share(self):
+        """Guards against a new VM that takes its own entry for an earlier run's.
+
+        The store kept the entry without answering, and the other VMs cannot hear the
+        new one. It then used a share in addition to theirs.
+        """
+        async with trio.open_nursery() as nursery:
+            fleet = Fleet(nursery)
+            fleet.start(THREE_VMS[:2])
+            await trio.sleep(AGREEMENT_S)
+            fleet.model.store.rng = random.Random(1)
+            fleet.model.store.lost_writes = 1.0
+            new = THREE_VMS[2]
+            fleet.model.is_store_apart = True
+            fleet.model.network.block_rules.append(
+                lambda sender, receiver: new.ip in (sender, receiver)
+            )
+            fleet.start([new])
+            await trio.sleep(AGREEMENT_S)
+            self.assertIn(new.vm, fleet.model.store.newest)
+            self.assertAlmostEqual(fleet.share_sum(), 1.0, delta=0.05)
+            nursery.cancel_scope.cancel()
+
+
 class TestWatch(unittest.TestCase):
     @on_mock_clock
     async def test_detects_vms_that_know_different_fleets(self):
