--- a/packages/gateway/plantainshed_gateway/datagrams.py
+++ b/packages/gateway/plantainshed_gateway/datagrams.py
@@ -7,9 +7,8 @@
 
 import zlib
 
-import cattrs
 import orjson
-from attrs import field, frozen
+from attrs import field, fields, frozen
 
 from .heartbeats import (
     DomainSummary,
@@ -98,38 +97,12 @@
 # Limits the memory that a forged datagram can use when decompressed.
 MAX_DECOMPRESSED_BYTES = 1_000_000
 _TAG_OF = {kind: tag for tag, kind in _BY_TAG.items()}
-_CONVERTER = cattrs.Converter(
-    unstruct_strat=cattrs.UnstructureStrategy.AS_TUPLE, detailed_validation=False
-)
-
-
-# Heartbeats and summaries are most of what a VM receives. These hooks decode them in
-# two thirds of the time that the plain converter needs.
-_CONVERTER.register_unstructure_hook(
-    QuotaUsage, lambda usage: (usage.demand, usage.share, usage.level)
-)
-_CONVERTER.register_unstructure_hook(
-    UsageSummary,
-    lambda usage: (
-        usage.demand,
-        usage.share,
-        usage.silent_share,
-        usage.level,
-        usage.lender,
-    ),
-)
-_CONVERTER.register_structure_hook(
-    SummaryBundle, lambda fields, _: _structure_bundle(fields)
-)
-_CONVERTER.register_structure_hook(
-    Heartbeat, lambda fields, _: _structure_heartbeat(*fields)
-)
-_CONVERTER.register_structure_hook(
-    DomainSummary, lambda fields, _: _structure_summary(*fields)
-)
-# Exceptions that the converter raises for fields that do not form a message.
+_FIELD_NAMES = {
+    kind: tuple(attribute.name for attribute in fields(kind))
+    for kind in (*_TAG_OF, QuotaUsage, UsageSummary, VmSummary)
+}
+# Exceptions that fields which do not form a message cause.
 _DECODING_ERRORS = (
-    cattrs.BaseValidationError,
     AttributeError,
     IndexError,
     KeyError,
@@ -170,19 +143,18 @@
     def unpack(self) -> DomainSummary:
         """Return the decoded summary, or raise `ValueError`."""
         try:
-            return _CONVERTER.structure(self.fields, DomainSummary)
+            return _structure_summary(*self.fields)
         except _DECODING_ERRORS as error:
             raise ValueError(
                 f"invalid summary of a failure domain: {error!r}"
             ) from error
 
 
-def _structure_bundle(fields) -> SummaryBundle:
+def _structure_bundle(packed, *_) -> SummaryBundle:
     """Return a bundle of packed summaries.
 
     Their domains, speakers, and versions can be read without decoding them.
     """
-    (packed,) = fields
     summaries = tuple(PackedSummary(list(item)) for item in packed)
     for item in summaries:
         if not (isinstance(item.failure_domain, str) and isinstance(item.speaker, str)):
@@ -194,7 +166,7 @@
 
 def encode(message: Message) -> bytes:
     """Return the datagram for a message."""
-    data = orjson.dumps([_TAG_OF[type(message)], _CONVERTER.unstructure(message)])
+    data = orjson.dumps([_TAG_OF[type(message)], message], default=_fields_of)
     if len(data) < COMPRESSION_THRESHOLD_BYTES:
         return data
     return zlib.compress(data, COMPRESSION_LEVEL)
@@ -204,11 +176,16 @@
     """Return the message in a datagram, or raise `ValueError`."""
     try:
         tag, fields = orjson.loads(_decompress(data))
-        return _CONVERTER.structure(fields, _BY_TAG[tag])
+        return _STRUCTURE_BY_TAG[tag](*fields)
     except _DECODING_ERRORS as error:
         raise ValueError(f"invalid message: {error!r}") from error
 
 
+def _fields_of(value) -> tuple:
+    """Return the fields of a message, or of a part of one, by position."""
+    return tuple(getattr(value, name) for name in _FIELD_NAMES[type(value)])
+
+
 def _structure_heartbeat(
     vm,
     failure_domain,
@@ -320,6 +297,40 @@
     return tuple((str(fingerprint), str(target)) for fingerprint, target in fields)
 
 
+def _structure_token_request(
+    vm, number, workspace, max_tokens=1.0, reserved=0.0, *_
+) -> TokenRequest:
+    return TokenRequest(
+        str(vm), int(number), str(workspace), float(max_tokens), float(reserved)
+    )
+
+
+def _structure_token_loan(number, tokens, *_) -> TokenLoan:
+    return TokenLoan(int(number), float(tokens))
+
+
+def _structure_member_list(
+    vms, incarnations=None, silent_s=None, unregistered=(), is_reply=False, *_
+) -> MemberList:
+    return MemberList(
+        {vm: (str(ip), str(domain)) for vm, (ip, domain) in vms.items()},
+        {vm: int(number) for vm, number in (incarnations or {}).items()},
+        {vm: float(seconds) for vm, seconds in (silent_s or {}).items()},
+        tuple(str(vm) for vm in unregistered),
+        bool(is_reply),
+    )
+
+
+_STRUCTURE_BY_TAG = {
+    "h": _structure_heartbeat,
+    "n": _structure_summary,
+    "b": _structure_bundle,
+    "a": _structure_token_request,
+    "l": _structure_token_loan,
+    "r": _structure_member_list,
+}
+
+
 def _decompress(data: bytes) -> bytes:
     if not data.startswith(ZLIB_HEADER):
         return data
--- a/packages/gateway/plantainshed_gateway/registry.py
+++ b/packages/gateway/plantainshed_gateway/registry.py
@@ -287,6 +287,8 @@
 
     def drop_expired(self):
         """Drop targets whose entries were not written again after an outage."""
+        if trio.current_time() < self._next_grace_end:
+            return
         gone = [
             instance
             for instance, state in self.states.items()
@@ -335,8 +337,7 @@
 
         Draining and evacuated targets are excluded, ejected ones are not.
         """
-        if trio.current_time() >= self._next_grace_end:
-            self.drop_expired()
+        self.drop_expired()
         states = self._by_pool.get(pool, [])
         if not home_regions:
             return states
--- a/packages/gateway/plantainshed_gateway/speakers.py
+++ b/packages/gateway/plantainshed_gateway/speakers.py
@@ -144,7 +144,7 @@
             age_s=round(max(ages), 2),
             vms=tuple(_vm_summary(member, now) for member in known),
             newest_revisions=own.newest_revisions,
-            usage={name: _rounded(sums.of(name)) for name in sums.by_workspace},
+            usage={name: _rounded(sums.of(name)) for name in sums.workspaces()},
             crashes=own.crashes,
             known_vm_count=own.known_vm_count,
             known_vms_digest=own.known_vms_digest,
--- a/packages/gateway/plantainshed_gateway/usage_view.py
+++ b/packages/gateway/plantainshed_gateway/usage_view.py
@@ -2,8 +2,7 @@
 
 from attrs import frozen
 
-from .demand import PastDemand
-from .heartbeats import QuotaUsage, UsageSummary
+from .heartbeats import UsageSummary
 from .members import FarDomain, Member, Members
 
 
@@ -54,9 +53,7 @@
             m.heartbeat.vm: m.demand_history.at(moment) for m in alive
         }
         far_past_demand = [d.demand_history.at(moment) for d in far if d.is_fresh]
-        self.past_demand = _sum_by_workspace(
-            [*self.own_domain_past_demand.values(), *far_past_demand]
-        )
+        self.past_demands = [*self.own_domain_past_demand.values(), *far_past_demand]
 
     def of(self, workspace: str) -> UsageTotals:
         """Return the totals of one workspace."""
@@ -72,28 +69,16 @@
                 share += usage.share
             else:
                 silent_share += usage.share
-        past_demand = self.past_demand.get(workspace, 0.0)
+        past_demand = sum(past.of(workspace) for past in self.past_demands)
         return UsageTotals(demand, past_demand, share, silent_share)
 
 
-def _sum_by_workspace(past_demands: list[PastDemand]) -> dict[str, float]:
-    """Return the sum of demands by workspace, in requests per second."""
-    sums: dict[str, float] = {}
-    for past in past_demands:
-        for demands, weight in (
-            (past.before, 1.0 - past.weight),
-            (past.after, past.weight),
-        ):
-            if weight <= 0.0:
-                continue
-            for name, demand in demands.items():
-                sums[name] = sums.get(name, 0.0) + demand * weight
-    return sums
-
-
 class UsageSums:
     """Sums of quota usage over VMs of one failure domain, by workspace.
 
+    A sum is only computed when it is read: most VMs need those of the few workspaces
+    whose quotas they hold.
+
     Parameters
     ----------
     members : list of Member
@@ -101,18 +86,20 @@
     """
 
     def __init__(self, members: list[Member]):
-        self.by_workspace: dict[str, list[tuple[Member, bool, QuotaUsage]]] = {}
-        for member in members:
-            is_alive = member.is_alive
-            for name, usage in member.heartbeat.usage.items():
-                entry = (member, is_alive, usage)
-                self.by_workspace.setdefault(name, []).append(entry)
+        self.members = [(member, member.is_alive) for member in members]
+
+    def workspaces(self) -> set[str]:
+        """Return the workspaces that any of the VMs reports."""
+        return {name for member, _ in self.members for name in member.heartbeat.usage}
 
     def of(self, workspace: str) -> UsageSummary:
         """Return the usage of one workspace's quota."""
         demand = share = silent_share = level = 0.0
         lender = ""
-        for member, is_alive, usage in self.by_workspace.get(workspace, ()):
+        for member, is_alive in self.members:
+            usage = member.heartbeat.usage.get(workspace)
+            if usage is None:
+                continue
             if not is_alive:
                 silent_share += usage.share
                 continue
