Name route and workspace of requests that exceed a quota in the log

The quota is now taken after the call exists. Test that failed before: test_refusal_over_quota_names_route_and_workspace ('' and None in the line).

--- a/packages/gateway/plantainshed_gateway/admission.py
+++ b/packages/gateway/plantainshed_gateway/admission.py
@@ -3,8 +3,6 @@
 import math
 from http import HTTPStatus
 
-import trio
-
 from plantainshed_http.messages import RequestHead
 
 from .call import Call
@@ -42,8 +40,11 @@
         self.splitter = Splitter()
         self.configuration: Configuration | None = None
 
-    async def admit(self, head: RequestHead, body: bytes, began_at: float) -> Call:
-        """Return the admitted request as a `Call`, or raise `Refusal`."""
+    def make_call(self, head: RequestHead, body: bytes, began_at: float) -> Call:
+        """Return a request with its route and workspace, or raise `Refusal`.
+
+        It may be sent to targets once `take_quota` has returned.
+        """
         configuration = self._require_configuration()
         request = self._read_request(head)
         route = configuration.route_for(request.host, request.path)
@@ -58,7 +59,7 @@
         caller_timeout_s = (
             math.inf if request.deadline_s is None else request.deadline_s
         )
-        call = Call(
+        return Call(
             head=head,
             request=request,
             route=route,
@@ -70,9 +71,6 @@
             pool=self.splitter.choose(route, object_key),
             began_at=began_at,
         )
-        await self.take_quota(call.workspace)
-        call.quota_taken_at = trio.current_time()
-        return call
 
     def _require_configuration(self) -> Configuration:
         if self.configuration is None:
--- a/packages/gateway/plantainshed_gateway/serving.py
+++ b/packages/gateway/plantainshed_gateway/serving.py
@@ -108,7 +108,9 @@
             body = await self._read_body(exchange)
             self._require_caught_up()
             self._require_accepting()
-            call = await self.admission.admit(exchange.request, body, began_at)
+            call = self.admission.make_call(exchange.request, body, began_at)
+            await self.admission.take_quota(call.workspace)
+            call.quota_taken_at = trio.current_time()
             self.retries.note_request(call.pool)
             await self._run(exchange, call)
         except Refusal as refusal:
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -281,6 +281,21 @@
                 self.assertEqual(status, 200)
 
 
+class TestRefusalLog(unittest.TestCase):
+    @on_real_clock
+    async def test_refusal_over_quota_names_route_and_workspace(self):
+        """Guards against logs that do not tell whose requests exceed a quota."""
+        tenant = {"name": "comune", "apiKeys": [KEY], "priority": 0, "ratePerS": 0.2}
+        async with running_system(1, configuration(tenants=[tenant])) as system:
+            statuses = [(await system.ask())[0] for _ in range(40)]
+            self.assertIn(429, statuses)
+            refused = system.lines("refused")[0]
+            self.assertEqual(refused["reason"], "over_quota")
+            self.assertEqual(
+                (refused["route"], refused["workspace"]), ("read", "comune")
+            )
+
+
 class TestTime(unittest.TestCase):
     @on_real_clock
     async def test_target_that_answers_nobody_is_left_out(self):
