Search for writes whose outcome is unknown: soak and changes of the document

The soak kills a VM once, removes its entry, leaves its new registration unanswered and the store silent for a second. It is drawn apart from the other faults, so that recorded seeds draw the same ones as before.

Changes of the document find themselves in the root after a lost answer, also if it cannot be read for 1 s or 10 s; a test that passes on the code before says so now.

--- a/tests/coordination/test_versioned.py
+++ b/tests/coordination/test_versioned.py
@@ -7,10 +7,10 @@
 from hypothesis import strategies as st
 
 from plantainshed_coordination.errors import CommitUnconfirmed, StaleBase
-from plantainshed_coordination.versioned import Change, DocumentStore
+from plantainshed_coordination.versioned import ROOT_KIND, Change, DocumentStore
 from plantainshed_standins.memory_network import run_deterministically
 from plantainshed_standins.memory_platform import MemoryPlatform
-from tests.support import on_mock_clock
+from tests.support import StoreAccess, on_mock_clock
 
 
 def change(base, change_id, text=b"x"):
@@ -57,6 +57,25 @@
         self.assertEqual(revision.version, 2)
         self.assertEqual((await store.root()).revision.version, 2)
 
+    @on_mock_clock
+    async def test_change_with_an_unknown_outcome_is_applied_once(self):
+        """Guards against a second version if the root cannot be read for a while.
+
+        After 1 s the change finds itself in the root. After 10 s its author is told
+        that the outcome is unknown, and repeats it.
+        """
+        for unreadable_s in (1.0, 10.0):
+            access = StoreAccess(MemoryPlatform(), (ROOT_KIND,))
+            store = DocumentStore(access)
+            await store.commit(change(0, "c1"))
+            access.lose_answers, access.unreadable_s = 1, unreadable_s
+            if unreadable_s > 5:
+                with self.assertRaises(CommitUnconfirmed):
+                    await store.commit(change(1, "c2"))
+                await trio.sleep(unreadable_s)
+            self.assertEqual((await store.commit(change(1, "c2"))).version, 2)
+            self.assertEqual((await store.root()).revision.version, 2)
+
     @on_mock_clock
     async def test_change_can_be_repeated_after_an_outage(self):
         platform = MemoryPlatform()
--- a/tests/platform/soak/__main__.py
+++ b/tests/platform/soak/__main__.py
@@ -17,7 +17,12 @@
 from tests.platform.store_standin import running_store
 
 from .callers import RESPONSE_TIMEOUT_S, SentRequest, make_callers
-from .faults import STALL_THRESHOLD_S, FaultInjector, draw_faults
+from .faults import (
+    STALL_THRESHOLD_S,
+    FaultInjector,
+    draw_faults,
+    draw_registrations,
+)
 from .processes import running_vms
 from .promises import Findings, InvariantChecker
 from .settings import RECOVERY_S, START_TIMEOUT_S, SoakSettings
@@ -102,7 +107,9 @@
 
 async def _soak(settings: SoakSettings, folder: Path) -> dict:
     requests: list[SentRequest] = []
-    plan, sequences = draw_faults(settings), draw_signals(settings)
+    faults = [*draw_faults(settings), *draw_registrations(settings)]
+    plan = sorted(faults, key=lambda fault: fault.start_s)
+    sequences = draw_signals(settings)
     async with running_world(settings) as world:
         async with running_store(world.store) as store_address:
             async with running_vms(settings, store_address, folder) as vms:
--- a/tests/platform/soak/faults.py
+++ b/tests/platform/soak/faults.py
@@ -12,6 +12,8 @@
 
 # Scope of a disturbance that affects every VM and target.
 SCOPE_ALL = "all"
+# Kind of the objects with which VMs register themselves.
+VM_ENTRIES = "plantainshed-vms"
 # How often the soak checks whether it stalled itself, and how late a wake-up counts
 # as a stall: half of the smallest margin that a check allows beyond a time limit.
 STALL_CHECK_PERIOD_S = 0.1
@@ -106,6 +108,16 @@
     return sorted(faults, key=lambda fault: fault.start_s)
 
 
+def draw_registrations(settings: SoakSettings) -> list[Fault]:
+    """Draw the registrations that the store leaves unanswered.
+
+    They are drawn apart from the other faults, which stay the same for recorded seeds.
+    """
+    rng = random.Random(f"{settings.seed}/registrations")
+    at = rng.uniform(1.0, max(1.0, settings.duration_s - 4.0))
+    return [Fault("vm_registers_unanswered", at, 3.0, rng.getrandbits(16))]
+
+
 class FaultInjector:
     """Injects faults and records the periods that they disturb.
 
@@ -320,6 +332,24 @@
         await vm.stop()
         self._end_disturbances(disturbances)
 
+    async def vm_registers_unanswered(self, fault: Fault):
+        """Kill a VM and lose the answer to its new registration.
+
+        The store then answers no call for a second.
+        """
+        vm = self._pick_vm(fault)
+        vm.kill()
+        store = self.world.store
+        if vm.name in store.objects.get(VM_ENTRIES, {}):
+            store.delete(VM_ENTRIES, vm.name)
+        store.drops_write_answers = True
+        disturbances = await self._disturb(fault, "store", vm.name)
+        store.drops_write_answers = False
+        store.mode = "silent"
+        await trio.sleep(1.0)
+        store.mode = "normal"
+        self._end_disturbances(disturbances)
+
     async def vm_hup(self, fault: Fault):
         """Change a settings file, with SIGHUP in two cases out of three."""
         vm = self._pick_vm(fault)
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -29,6 +29,7 @@
     Fault,
     FaultInjector,
     draw_faults,
+    draw_registrations,
 )
 from tests.platform.soak.processes import Vm
 from tests.platform.soak.promises import InvariantChecker
@@ -130,6 +131,13 @@
         for kind in FAULT_KINDS:
             self.assertTrue(callable(getattr(FaultInjector, kind)))
 
+    def test_registration_without_an_answer_is_drawn_apart(self):
+        """Guards against a soak in which no VM registers, and against changed draws."""
+        (fault,) = draw_registrations(SETTINGS)
+        self.assertTrue(callable(getattr(FaultInjector, fault.kind)))
+        self.assertNotIn(fault.kind, FAULT_KINDS)
+        self.assertEqual(draw_registrations(SETTINGS), [fault])
+
 
 class TestDrawSignals(unittest.TestCase):
     def test_same_seed_draws_the_same_few_sequences(self):
