Find the usable targets of a pool once for each request

Placement asked the registry for the eligible targets twice, and each target read the clock for its ejection and again for its trial. Which targets are usable is unchanged.

--- a/packages/gateway/plantainshed_gateway/placement.py
+++ b/packages/gateway/plantainshed_gateway/placement.py
@@ -30,7 +30,7 @@
 from .connections import TargetConnections
 from .model import Configuration, Route
 from .queueing import QueueLimits
-from .registry import Registry, TargetState
+from .registry import Registry, TargetState, usable_among
 from .round_trips import RoundTrips
 
 # Requests per slot, running and waiting, above which an object's first owner is
@@ -130,12 +130,12 @@
         return None
 
     def _candidates(self, call: Call) -> _Candidates:
-        usable = self.registry.usable(call.pool, call.home_regions)
+        eligible = self.registry.eligible(call.pool, call.home_regions)
+        usable = usable_among(eligible)
         if not call.route.is_sticky or call.request.affinity is None:
             return _select_candidates(self._sorted_by_load(usable), OWNERS_PER_OBJECT)
         # Rankings are cached, so they contain all eligible targets. Ejections are too
         # short to move objects for longer than they last.
-        eligible = self.registry.eligible(call.pool, call.home_regions)
         if self._is_far(call.route):
             candidates = self._regional_owners(call, eligible, set(usable))
         else:
--- a/packages/gateway/plantainshed_gateway/registry.py
+++ b/packages/gateway/plantainshed_gateway/registry.py
@@ -110,10 +110,11 @@
             and self.answered_at < self.ejected_until
         )
 
-    @property
-    def is_usable(self) -> bool:
-        """Whether the target may receive a request now."""
-        return not self.is_ejected and not (self.is_on_trial and self.in_flight)
+    def is_usable_at(self, now: float) -> bool:
+        """Return whether the target may receive a request at the current time."""
+        if self.ejected_until > now:
+            return False
+        return not (self.ejections and self.in_flight and self.is_on_trial)
 
     @property
     def weight(self) -> float:
@@ -348,16 +349,21 @@
         ]
 
     def usable(self, pool: str, home_regions: frozenset[str]) -> list[TargetState]:
-        """Return the targets of a pool that are neither ejected nor busy with a trial.
+        """Return the eligible targets of a pool that are also usable."""
+        return usable_among(self.eligible(pool, home_regions))
 
-        If these are less than half of the pool, all of its targets are returned, so
-        that false failure detections cannot empty a pool.
-        """
-        eligible = self.eligible(pool, home_regions)
-        healthy = [state for state in eligible if state.is_usable]
-        if len(healthy) < len(eligible) * MAX_EJECTED_FRACTION:
-            return eligible
-        return healthy
+
+def usable_among(eligible: list[TargetState]) -> list[TargetState]:
+    """Return the targets that are neither ejected nor busy with a trial.
+
+    If these are less than half of the eligible ones, all of them are returned, so that
+    false failure detections cannot empty a pool.
+    """
+    now = trio.current_time()
+    healthy = [state for state in eligible if state.is_usable_at(now)]
+    if len(healthy) < len(eligible) * MAX_EJECTED_FRACTION:
+        return eligible
+    return healthy
 
 
 def vms_for_cold_target(instance: str, vms: list[str], max_count: int) -> list[str]:
