Record a registration in one place; drop a table that only built another

VmListReader noted that it is registered in two places, Lease handled a lost answer apart from its other write errors, and datagrams kept tags by class and classes by tag, of which the second was left over from cattrs. No change in behaviour; the bytes of each kind of message are the same as before.

--- a/packages/coordination/plantainshed_coordination/leases.py
+++ b/packages/coordination/plantainshed_coordination/leases.py
@@ -86,11 +86,6 @@
                     self.renewed_at = -self.ttl_s
                     return False
             await self._write(self.holder)
-        except OutcomeUnknown:
-            # The write may have changed the version, and then the next one would be
-            # rejected. Read the lease again before that.
-            self.observed = None
-            return self.is_held
         except PlatformError:
             return self.is_held
         self.renewed_at = began_at
@@ -132,6 +127,11 @@
             version = await self.platform.put(
                 LEASE_KIND, self.name, value, self.observed.version
             )
+        except OutcomeUnknown:
+            # The write may have changed the version, and then the next one would be
+            # rejected. Read the lease again before that.
+            self.observed = None
+            raise
         except VersionConflict:
             self.observed = None
             self.renewed_at = -self.ttl_s
--- a/packages/gateway/plantainshed_gateway/datagrams.py
+++ b/packages/gateway/plantainshed_gateway/datagrams.py
@@ -81,13 +81,13 @@
 Message = (
     Heartbeat | DomainSummary | SummaryBundle | TokenRequest | TokenLoan | MemberList
 )
-_BY_TAG = {
-    "h": Heartbeat,
-    "n": DomainSummary,
-    "b": SummaryBundle,
-    "a": TokenRequest,
-    "l": TokenLoan,
-    "r": MemberList,
+_TAG_OF = {
+    Heartbeat: "h",
+    DomainSummary: "n",
+    SummaryBundle: "b",
+    TokenRequest: "a",
+    TokenLoan: "l",
+    MemberList: "r",
 }
 # Messages of at least this size are compressed. They shrink by more than half (2.3 KB
 # to 0.9, 4.5 KB to 1.1) for 8 to 53 us of processor time.
@@ -96,7 +96,6 @@
 ZLIB_HEADER = b"\x78"
 # Limits the memory that a forged datagram can use when decompressed.
 MAX_DECOMPRESSED_BYTES = 1_000_000
-_TAG_OF = {kind: tag for tag, kind in _BY_TAG.items()}
 _FIELD_NAMES = {
     kind: tuple(attribute.name for attribute in fields(kind))
     for kind in (*_TAG_OF, QuotaUsage, UsageSummary, VmSummary)
--- a/packages/gateway/plantainshed_gateway/vm_list.py
+++ b/packages/gateway/plantainshed_gateway/vm_list.py
@@ -84,7 +84,8 @@
                 pause_s = await self._apply(snapshot)
                 if not self._is_registered:
                     await self._register()
-                    pause_s = CONFIRM_PAUSE_S if self._is_registered else pause_s
+                    if self._is_registered:
+                        pause_s = CONFIRM_PAUSE_S
             except StoreUnavailable as error:
                 self.log.event("list of VMs not read", problem=str(error))
                 pause_s = REGISTER_RETRY_S
@@ -97,15 +98,20 @@
         # If the answer to an earlier write was lost, an existing entry may be from it.
         is_first_write = not self._has_written
         self._has_written = True
+        is_from_before = False
         try:
             await self.store.create(Collection.VMS, self.members.own.vm, value)
         except ItemExists as error:
             if error.item is None or error.item.value == value:
-                self.was_listed_before |= is_first_write
+                is_from_before = is_first_write
             elif not await self._replace(error.item, value):
                 return
+        self._note_registered(is_from_before)
+
+    def _note_registered(self, is_from_before: bool):
         self._is_registered = True
         self._entry_seen_at = trio.current_time()
+        self.was_listed_before |= is_from_before
         self.log.event(
             "registered", ip=self.ip, was_listed_before=self.was_listed_before
         )
@@ -157,12 +163,8 @@
             return False
         self._entry_seen_at = now
         if not self._is_registered:
-            self._is_registered = True
             # Without a write since the start, the entry is from an earlier run.
-            self.was_listed_before |= not self._has_written
-            self.log.event(
-                "registered", ip=self.ip, was_listed_before=self.was_listed_before
-            )
+            self._note_registered(is_from_before=not self._has_written)
         if snapshot.revision < self._newest_revision:
             return False
         self._newest_revision = snapshot.revision
