Share the set-up of two tests of the membership watch; name kinds by fault

Two tests repeated how they start a watched fleet; the faulty fleet sliced a tuple to select kinds of objects.

--- a/tests/coordination/test_budget_faults.py
+++ b/tests/coordination/test_budget_faults.py
@@ -17,7 +17,11 @@
 STEP_S = 3.0
 FAULTS = ("loss", "repeat", "jitter", "cut", "store_down", "store_slow", "lost_answers",
           "kill", "restart", "heal", "pause")  # fmt: skip
-LOST_OUTCOMES = ("lost_outcomes", "lost_outcomes_of_leases")
+# Kinds of objects whose writes are not answered, by fault.
+LOST_OUTCOMES = {
+    "lost_outcomes": (LEDGER_KIND,),
+    "lost_outcomes_of_leases": (LEDGER_KIND, LEASE_KIND),
+}
 LOST_OUTCOMES_S = 15.0
 UNREADABLE_S = (1.0, 5.0)
 
@@ -79,11 +83,8 @@
         elif fault == "lost_answers":
             platform.faults.lose_answers = 4
         elif fault in LOST_OUTCOMES:
-            kinds = (LEDGER_KIND, LEASE_KIND)
             for access in self.access.values():
-                access.kinds = (
-                    kinds if fault == "lost_outcomes_of_leases" else kinds[:1]
-                )
+                access.kinds = LOST_OUTCOMES[fault]
                 access.lose_answers = 20
                 access.unreadable_s = self.chooser.choice(UNREADABLE_S)
             await trio.sleep(LOST_OUTCOMES_S)
@@ -114,7 +115,7 @@
 
     @given(
         st.lists(st.sampled_from((*FAULTS, *LOST_OUTCOMES)), max_size=4),
-        st.sampled_from(LOST_OUTCOMES),
+        st.sampled_from(tuple(LOST_OUTCOMES)),
         st.integers(0, 10_000),
     )
     @settings(max_examples=10, derandomize=True, deadline=None)
--- a/tests/measure/test_limits_membership.py
+++ b/tests/measure/test_limits_membership.py
@@ -148,15 +148,20 @@
 
 
 class TestWatch(unittest.TestCase):
+    async def start_watched(self, nursery) -> tuple[Fleet, MembershipWatch]:
+        """Start a fleet and its watch, and wait until its VMs must agree."""
+        fleet = Fleet(nursery)
+        fleet.start()
+        watch = MembershipWatch(fleet.model, [], trio.current_time())
+        nursery.start_soon(watch.run)
+        await trio.sleep(AGREEMENT_S + 1)
+        return fleet, watch
+
     @on_mock_clock
     async def test_detects_vms_that_know_different_fleets(self):
         """Guards against a check that passes although one VM lacks another."""
         async with trio.open_nursery() as nursery:
-            fleet = Fleet(nursery)
-            fleet.start()
-            watch = MembershipWatch(fleet.model, [], trio.current_time())
-            nursery.start_soon(watch.run)
-            await trio.sleep(AGREEMENT_S + 1)
+            fleet, watch = await self.start_watched(nursery)
             self.assertEqual(watch.problems, [])
             members = fleet.model.running["vm0"].members
             members.table.clear()
@@ -170,11 +175,7 @@
     async def test_detects_shares_that_exceed_one_for_long(self):
         """Guards against a check that passes although VMs use too large shares."""
         async with trio.open_nursery() as nursery:
-            fleet = Fleet(nursery)
-            fleet.start()
-            watch = MembershipWatch(fleet.model, [], trio.current_time())
-            nursery.start_soon(watch.run)
-            await trio.sleep(AGREEMENT_S + 1)
+            fleet, watch = await self.start_watched(nursery)
             for vm in fleet.model.running.values():
                 vm.quotas.recompute_shares = lambda: None
                 vm.quotas.buckets[WORKSPACE.name].share = 0.5
