Build the metrics collectors only when metrics are read

Cause: importing aioprometheus takes 20 ms of the 300 ms of a start (asyncio among them), and each request paid for four label checks and JSON keys.

Change: counters, gauges and histograms are kept in dictionaries and turned into the library's collectors by `render`. Names, labels and format are unchanged.

--- a/packages/gateway/plantainshed_gateway/metrics.py
+++ b/packages/gateway/plantainshed_gateway/metrics.py
@@ -1,17 +1,16 @@
 """The gateway's metrics in Prometheus text format."""
 
-from aioprometheus import Counter, Gauge, Histogram, Registry, render
-
 from .reasons import Reason
+from .series import Distribution, Values, render_all
 
-LATENCY_BUCKETS_S = [0.01, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 4.0, 8.0]
+LATENCY_BUCKETS_S = (0.01, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 4.0, 8.0)
 
 
 class Metrics:
     """Counters, gauges and histograms of one VM."""
 
     def __init__(self):
-        self.registry = Registry()
+        self.series: list[Values | Distribution] = []
         self.answers = self._counter("answers", "Requests answered, by route, status.")
         self.refusals = self._counter("refusals", "Requests refused, by reason.")
         self.retries = self._counter("retries", "Further attempts, by reason.")
@@ -19,49 +18,46 @@
         self.skipped = self._counter(
             "skipped_answers", "Answers of targets that belonged to no request."
         )
-        self.latency = Histogram(
-            "plantainshed_request_seconds",
+        self.latency = self._distribution(
+            "request_seconds",
             "Time from the head of a request to its answer, by route.",
-            registry=self.registry,
-            buckets=LATENCY_BUCKETS_S,
         )
-        self.attempt_latency = Histogram(
-            "plantainshed_attempt_seconds",
-            "Time that targets take to answer, by pool.",
-            registry=self.registry,
-            buckets=LATENCY_BUCKETS_S,
+        self.attempt_latency = self._distribution(
+            "attempt_seconds", "Time that targets take to answer, by pool."
         )
-        self.round_trip = Gauge(
-            "plantainshed_round_trip_seconds",
-            "Usual time to a failure domain and back.",
-            registry=self.registry,
+        self.round_trip = self._gauge(
+            "round_trip_seconds", "Usual time to a failure domain and back."
         )
-        self.copy_age = Gauge(
-            "plantainshed_copy_age_seconds",
+        self.copy_age = self._gauge(
+            "copy_age_seconds",
             "Time since the store, or a peer, last confirmed a collection's copy.",
-            registry=self.registry,
         )
-        self.copy_revision = Gauge(
-            "plantainshed_copy_revision",
+        self.copy_revision = self._gauge(
+            "copy_revision",
             "Revision of the store up to which a collection's copy is complete.",
-            registry=self.registry,
         )
-        self.vms = Gauge(
-            "plantainshed_vms",
+        self.vms = self._gauge(
+            "vms",
             "VMs: known, alive, and alive with another list of VMs than this one.",
-            registry=self.registry,
         )
-        self.share_sum = Gauge(
-            "plantainshed_share_sum",
+        self.share_sum = self._gauge(
+            "share_sum",
             "Shares of a workspace's quota on all VMs, where they exceed one.",
-            registry=self.registry,
-        )
-        self.state = Gauge(
-            "plantainshed_state", "State of this VM.", registry=self.registry
         )
+        self.state = self._gauge("state", "State of this VM.")
+
+    def _counter(self, name: str, doc: str) -> Values:
+        return self._add(Values(f"plantainshed_{name}_total", doc, is_counter=True))
+
+    def _gauge(self, name: str, doc: str) -> Values:
+        return self._add(Values(f"plantainshed_{name}", doc, is_counter=False))
+
+    def _distribution(self, name: str, doc: str) -> Distribution:
+        return self._add(Distribution(f"plantainshed_{name}", doc, LATENCY_BUCKETS_S))
 
-    def _counter(self, name: str, doc: str) -> Counter:
-        return Counter(f"plantainshed_{name}_total", doc, registry=self.registry)
+    def _add(self, series):
+        self.series.append(series)
+        return series
 
     def count_refusal(self, reason: Reason, route: str):
         """Count a request that the gateway refused."""
@@ -78,5 +74,4 @@
 
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
-        body, _ = render(self.registry, [])
-        return body
+        return render_all(self.series)
