Answer look-ups from a prepared answer until a VM starts or leaves

Change: the encoded answer of a region is used again for 0.1 s, unless a heartbeat shows a new VM or another state of a known one, or this VM's own state changes. Sets of more than 64 addresses are still sampled for each caller.

tests/platform/test_fleet.py, test_watches_lost_by_the_store_are_restarted, failed in about one of four runs four at a time since exchanges take fewer scheduler passes. Traced: it waits until the store has lost three more watches, with a counter that it samples every 10 ms and compares with `==`; three watches and a poll (also counted) now arrive within that time, so the counter goes from 2 to 4 and never equals 3. The system restarts its watches as before (all three within 0.01 s in the trace).

--- a/packages/gateway/plantainshed_gateway/gateway.py
+++ b/packages/gateway/plantainshed_gateway/gateway.py
@@ -327,13 +327,12 @@
         except BadRequest as error:
             await exchange.reply(400, [], str(error).encode())
             return
-        addresses = self.lookup.addresses(lookup)
+        body = self.lookup.answer(lookup, wire.write_lookup)
         self.context.metrics.lookups.inc({"region": lookup.region})
-        if not addresses:
+        if body is None:
             # An empty address list would leave the caller without any VM to use.
             await exchange.reply(503, [], b"no VM takes callers now\n")
             return
-        body = wire.write_lookup(addresses, self.lookup.ttl_s)
         await exchange.reply(200, [(b"content-type", b"application/json")], body)
 
     async def answer_readiness(self, exchange: Exchange):
--- a/packages/gateway/plantainshed_gateway/members.py
+++ b/packages/gateway/plantainshed_gateway/members.py
@@ -158,6 +158,8 @@
         Names in the store's newest answer; None before the first one.
     forgotten_at : dict of str to float
         When VMs were forgotten, or last mentioned by another VM since.
+    state_changes : int
+        Number of heartbeats that showed a new VM or another state of a known one.
     """
 
     def __init__(self, own: Heartbeat):
@@ -169,6 +171,7 @@
         self.is_list_confirmed = False
         self.registered: set[str] | None = None
         self.forgotten_at: dict[str, float] = {}
+        self.state_changes = 0
         self._digest: int | None = None
         self._ready_vms: tuple[float, list[str]] = (float("-inf"), [])
 
@@ -243,6 +246,8 @@
             member.heard_at = max(member.heard_at, heard_at)
             return False
         member.ip, member.failure_domain = ip, beat.failure_domain
+        if known is None or known.state is not beat.state:
+            self.state_changes += 1
         member.heartbeat = beat
         member.heard_at = heard_at
         member.timeout_s = timeout_s
--- a/tests/gateway/test_state.py
+++ b/tests/gateway/test_state.py
@@ -7,7 +7,8 @@
 from plantainshed_gateway.datagrams import decode, encode
 from plantainshed_gateway.errors import HistoryGone, StoreUnavailable
 from plantainshed_gateway.heartbeats import VmState
-from plantainshed_gateway.lookup import LookupTable
+from plantainshed_gateway.lookup import MAX_PREPARED, PREPARED_S, LookupTable
+from plantainshed_gateway.members import HEARTBEAT_TIMEOUT_S
 from plantainshed_gateway.ports import (
     Change,
     Changes,
@@ -286,6 +287,55 @@
         self.assertIn("store lost", [event for event, _ in log.events])
 
 
+class TestPreparedLookups(unittest.TestCase):
+    def setUp(self):
+        self.encoded = 0
+
+    def encode(self, addresses, ttl_s):
+        self.encoded += 1
+        return ",".join(sorted(addresses)).encode()
+
+    @on_mock_clock
+    async def test_answer_is_prepared_once_for_callers_of_a_region(self):
+        table = LookupTable(make_members(), 5.0)
+        lookup = Lookup("h", "lombardia", "mil-a")
+        for _ in range(10):
+            self.assertEqual(table.answer(lookup, self.encode), b"vm-0:1")
+        self.assertEqual(self.encoded, 1)
+
+    @on_mock_clock
+    async def test_vm_that_leaves_is_excluded_at_once(self):
+        """Guards against sending callers to a VM that is about to stop."""
+        members = make_members()
+        members.record_heartbeat(make_heartbeat("vm-1"), "10.0.0.1")
+        table = LookupTable(members, 5.0)
+        lookup = Lookup("h", "lombardia", "mil-a")
+        self.assertEqual(table.answer(lookup, self.encode), b"vm-0:1,vm-1:1")
+        leaving = make_heartbeat("vm-1", 2, state=VmState.LEAVING)
+        members.record_heartbeat(leaving, "10.0.0.1")
+        self.assertEqual(table.answer(lookup, self.encode), b"vm-0:1")
+        members.own = make_heartbeat("vm-0", 9, state=VmState.LEAVING)
+        self.assertIsNone(table.answer(lookup, self.encode))
+
+    @on_mock_clock
+    async def test_vm_that_became_silent_is_excluded_soon(self):
+        members = make_members()
+        members.record_heartbeat(make_heartbeat("vm-1"), "10.0.0.1")
+        table = LookupTable(members, 5.0)
+        lookup = Lookup("h", "lombardia", "mil-a")
+        await trio.sleep(HEARTBEAT_TIMEOUT_S - 0.05)
+        self.assertEqual(table.answer(lookup, self.encode), b"vm-0:1,vm-1:1")
+        await trio.sleep(PREPARED_S + 0.01)
+        self.assertEqual(table.answer(lookup, self.encode), b"vm-0:1")
+
+    @on_mock_clock
+    async def test_regions_that_callers_invent_take_no_memory(self):
+        table = LookupTable(make_members(), 5.0)
+        for number in range(5 * MAX_PREPARED):
+            table.answer(Lookup("h", f"region-{number}", "z"), self.encode)
+        self.assertLessEqual(len(table._prepared), MAX_PREPARED)
+
+
 class TestMembers(unittest.TestCase):
     @on_mock_clock
     async def test_vm_without_heartbeats_is_excluded_from_lookups(self):
--- a/tests/platform/test_fleet.py
+++ b/tests/platform/test_fleet.py
@@ -189,7 +189,7 @@
             fleet.store.mode = "silent"
             watches_before = fleet.count_config_watches()
             await fleet.until(
-                lambda: fleet.count_config_watches() == watches_before + 3
+                lambda: fleet.count_config_watches() >= watches_before + 3
             )
             fleet.store.mode = "normal"
             fleet.store.put("config", "main", configuration(9))
