--- a/packages/http/plantainshed_http/server.py
+++ b/packages/http/plantainshed_http/server.py
@@ -138,8 +138,9 @@
                     # kernel's queue, although their callers may have sent requests.
                     # Nothing may be awaited between the two, so that no other
                     # connections arrive in between.
-                    for stream, caller in _accept_waiting(listener.socket):
-                        connections.start_soon(serve, stream, caller)
+                    with contextlib.suppress(OSError):
+                        for stream, caller in _accept_waiting(listener.socket):
+                            connections.start_soon(serve, stream, caller)
                     listener.socket.close()
         background.cancel_scope.cancel()
 
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -1,10 +1,13 @@
 """Tests of the HTTP server and of client connections, on real sockets."""
 
 import unittest
+from unittest import mock
 
 import trio
 
+from plantainshed_http import server
 from plantainshed_http.client import ClientConnection, connected
+from plantainshed_http.server import Stopping, serve_http
 from tests.http_support import raw_exchange, serving
 from tests.support import on_real_clock
 
@@ -198,3 +201,36 @@
             self.assertTrue(connection.stale)
             await connection.aclose()
             nursery.cancel_scope.cancel()
+
+
+class TestAcceptErrors(unittest.TestCase):
+    @on_real_clock
+    async def test_process_without_descriptors_accepts_again_later(self):
+        """Guards against a server that ends, or accepts nobody, after `EMFILE`."""
+
+        async def respond(exchange):
+            await exchange.reply(200, [], b"ok")
+
+        async with serving(respond) as (address, _):
+            with mock.patch.object(
+                server.socket.socket, "accept", side_effect=OSError(24, "no descriptor")
+            ):
+                connection = await ClientConnection.open(address, 2)
+                await trio.sleep(0.05)
+            _, body = await connection.request("GET", "/")
+            self.assertEqual(body, b"ok")
+            connection.close()
+
+    @on_real_clock
+    async def test_stop_without_descriptors_ends(self):
+        """Guards against a stop that fails because it can't accept the last callers."""
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        stopping = Stopping()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(serve_http, echo, listeners, stopping)
+            await trio.sleep(0.01)
+            with mock.patch.object(
+                server.socket.socket, "accept", side_effect=OSError(24, "no descriptor")
+            ):
+                stopping.set()
+                await trio.sleep(0.05)
