Correct two docstrings that gave reasons that were not measured

Only docstrings change. That a task for each request costs more than the rest of it, and that collectors cost more than a log line, was never measured.

--- a/packages/gateway/plantainshed_gateway/series.py
+++ b/packages/gateway/plantainshed_gateway/series.py
@@ -1,8 +1,8 @@
 """Time series of counts, levels and durations.
 
-Recording a value changes a dictionary or a list. The collectors of `aioprometheus` are
-only built when the metrics are read: loading the library takes a tenth of the time of a
-start, and its collectors cost more than a request's log line.
+Recording a value changes a dictionary or a list. `aioprometheus` is only loaded, and
+its collectors are only built, when the metrics are read, because loading it would
+lengthen each start.
 """
 
 from bisect import bisect_left
--- a/packages/http/plantainshed_http/disconnects.py
+++ b/packages/http/plantainshed_http/disconnects.py
@@ -1,8 +1,7 @@
 """Detection of callers that disconnect while their requests are handled.
 
-A task for each request that waits for its connection costs more than the rest of a
-short request. One task therefore checks all connections with a running request at
-intervals, in one system call.
+One task checks the connections of all running requests at intervals, in one system
+call. A task for each request would add several scheduler passes to it.
 """
 
 import select
