--- a/packages/http/plantainshed_http/tcp.py
+++ b/packages/http/plantainshed_http/tcp.py
@@ -71,23 +71,24 @@
     @property
     def is_readable(self) -> bool:
         """Whether there is data, the end of the stream or an error to be read."""
-        try:
-            self.socket.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
-        return True
+        return self._peek() is not None
 
     @property
     def is_ended(self) -> bool:
         """Whether the peer has closed its side and all its data was read."""
+        return self._peek() == b""
+
+    def _peek(self) -> bytes | None:
+        """Return the next byte without reading it, or None if there is none yet.
+
+        The result is empty at the end of the stream and after an error.
+        """
         try:
-            return not self.socket.recv(1, socket.MSG_PEEK)
+            return self.socket.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
-            return False
+            return None
         except OSError:
-            return True
+            return b""
 
     def close(self):
         """Close the socket. A task that waits for it gets an error."""
