Detect and log that a VM reaches no target

The logs of the incident name one target a line; nothing told the loss of a VM's own links from the failure of one target after another, and a connection that timed out was logged with an empty problem (str of TooSlowError).

TargetReach suspects a cut when a connection fails or breaks, or when requests wait and nothing has answered for a second. ReachProber then connects to up to three targets that are likely to be up, of different distance and pool; only if all fail, the VM counts as cut off. While it does, it tries two targets every 0.25 s. Requests are handled as before.

--- a/packages/gateway/plantainshed_gateway/connections.py
+++ b/packages/gateway/plantainshed_gateway/connections.py
@@ -11,10 +11,12 @@
 from attrs import define, frozen
 
 from plantainshed_http.client import ClientConnection
+from plantainshed_http.errors import ConnectFailed
 from plantainshed_http.messages import ResponseHead
 
 from .registry import TargetState
 from .round_trips import RoundTrips
+from .target_reach import TargetReach
 
 # Time allowed for a busy target to accept a connection, in addition to the round
 # trips. A lost first packet is retransmitted after 1 s.
@@ -52,12 +54,19 @@
     Parameters
     ----------
     round_trips : RoundTrips
+    reach : TargetReach
     connect : callable, optional
         Opens a connection; gets an ``IP:PORT`` and a timeout in seconds.
     """
 
-    def __init__(self, round_trips: RoundTrips, connect=ClientConnection.open):
+    def __init__(
+        self,
+        round_trips: RoundTrips,
+        reach: TargetReach,
+        connect=ClientConnection.open,
+    ):
         self.round_trips = round_trips
+        self.reach = reach
         self.connect = connect
         self._idle: dict[str, list[_IdleConnection]] = {}
         # By pool: idle timeouts that targets advertised, and reduced reuse limits.
@@ -78,7 +87,12 @@
         failure_domain = state.entry.failure_domain
         timeout_s = ACCEPT_TIMEOUT_S + self.round_trips.wait_s(failure_domain)
         began_at = trio.current_time()
-        connection = await self.connect(state.entry.address, timeout_s)
+        try:
+            connection = await self.connect(state.entry.address, timeout_s)
+        except ConnectFailed:
+            self.reach.note_failed()
+            raise
+        self.reach.note_connected()
         self.round_trips.record(failure_domain, trio.current_time() - began_at)
         return connection
 
--- a/packages/gateway/plantainshed_gateway/forwarding.py
+++ b/packages/gateway/plantainshed_gateway/forwarding.py
@@ -61,10 +61,12 @@
         connection = await self._connect(call, state)
         sent_at = trio.current_time()
         try:
-            await self._send_request(call, state, connection)
-            answer = await self._read_answer(call, state, connection)
+            with self.connections.reach.waiting_for_answer():
+                await self._send_request(call, state, connection)
+                answer = await self._read_answer(call, state, connection)
             yield answer
         except ConnectionBroken as error:
+            self.connections.reach.note_failed()
             after_s = trio.current_time() - sent_at
             self.connections.note_broken(state, connection.idle_s, after_s)
             raise _connection_failure(connection, str(error)) from error
@@ -114,6 +116,7 @@
         for _ in range(1 + MAX_SKIPPED_ANSWERS):
             head = await connection.response_head()
             state.note_answer()
+            self.connections.reach.note_answer()
             metadata = self.wire.read_answer(head)
             if metadata.request_id in (None, call.request.request_id):
                 break
--- a/packages/gateway/plantainshed_gateway/gateway.py
+++ b/packages/gateway/plantainshed_gateway/gateway.py
@@ -27,6 +27,7 @@
 from .ports import Collection
 from .queueing import QueueLimits
 from .quota import Quotas
+from .reach_prober import ReachProber
 from .registry import Registry
 from .replication import Follower
 from .retry_budget import RetryBudgets
@@ -36,6 +37,7 @@
 from .speakers import Speakers
 from .start_order import StartOrder
 from .state_applier import StateApplier
+from .target_reach import TargetReach
 from .vm_list import VmListReader
 
 FOLLOWED = (Collection.CONFIGURATION, Collection.TARGETS, Collection.EVACUATIONS)
@@ -77,7 +79,17 @@
         self.quotas = Quotas(self.members, settings.bounds, self.round_trips)
         self.retries = RetryBudgets(settings.bounds)
         self.cold = ColdTargets(settings.bounds, settings.vm)
-        self.connections = TargetConnections(self.round_trips)
+        self.reach = TargetReach(
+            self.registry, settings.region, settings.failure_domain
+        )
+        self.connections = TargetConnections(self.round_trips, self.reach)
+        self.reach_prober = ReachProber(
+            self.reach,
+            self.registry,
+            self.connections,
+            self._announce_reach,
+            context.log,
+        )
         self.peers = Peers(
             self.members,
             self.speakers,
@@ -193,6 +205,7 @@
             nursery.start_soon(self.peers.send_heartbeats)
             nursery.start_soon(self.peers.receive)
             nursery.start_soon(self.vm_list.run)
+            nursery.start_soon(self.reach_prober.run)
             nursery.start_soon(self._await_vm_list)
             nursery.start_soon(self._upkeep)
 
@@ -267,6 +280,9 @@
             is_vm_list_complete=self.members.is_listed,
         )
 
+    async def _announce_reach(self):
+        await self.peers.send_now()
+
     async def _on_message(self, message: Message, ip: str):
         await self.messages.handle(message, ip)
 
@@ -278,6 +294,7 @@
             if paused_s:
                 await self._catch_up_after(paused_s)
             self.quotas.recompute_shares()
+            self.reach.check_silence()
             self.registry.drop_expired()
             self.connections.close_idle(set(self.registry.states))
             self.distance_prober.measure_unknown(self._nursery)
@@ -296,6 +313,7 @@
             metrics.copy_revision.set(labels, replica.revision)
             if replica.is_initialized:
                 metrics.copy_age.set(labels, trio.current_time() - replica.confirmed_at)
+        metrics.targets_unreachable.set({}, int(self.reach.is_cut_off))
         self.fleet_view.measure()
 
     async def _catch_up_after(self, paused_s: float):
--- a/packages/gateway/plantainshed_gateway/metrics.py
+++ b/packages/gateway/plantainshed_gateway/metrics.py
@@ -44,6 +44,9 @@
             "share_sum",
             "Shares of a workspace's quota on all VMs, where they exceed one.",
         )
+        self.targets_unreachable = self._gauge(
+            "targets_unreachable", "1 if this VM reaches no target, otherwise 0."
+        )
         self.state = self._gauge("state", "State of this VM.")
 
     def _counter(self, name: str, doc: str) -> Values:
--- /dev/null
+++ b/packages/gateway/plantainshed_gateway/reach_prober.py
@@ -0,0 +1,114 @@
+"""Opens connections to targets to find out whether this VM reaches any of them.
+
+Connections are only opened when requests fail or wait, and are kept for requests.
+"""
+
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from plantainshed_http.errors import ConnectFailed
+
+from .connections import TargetConnections
+from .logs import DecisionLog
+from .registry import Registry, TargetState
+from .target_reach import TargetReach
+
+# Interval of the attempts to reach a target while this VM is cut off.
+RETRY_INTERVAL_S = 0.25
+
+
+class ReachProber:
+    """Keeps `TargetReach.is_cut_off` up to date.
+
+    Parameters
+    ----------
+    reach : TargetReach
+    registry : Registry
+    connections : TargetConnections
+    on_change : callable
+        Awaited when this VM is cut off from the targets or reaches them again.
+    log : DecisionLog
+    """
+
+    def __init__(
+        self,
+        reach: TargetReach,
+        registry: Registry,
+        connections: TargetConnections,
+        on_change: Callable[[], Awaitable[None]],
+        log: DecisionLog,
+    ):
+        self.reach = reach
+        self.registry = registry
+        self.connections = connections
+        self.on_change = on_change
+        self.log = log
+        self._check_lock = trio.Lock()
+
+    async def run(self):
+        """Check whether targets are reachable until cancelled."""
+        while True:
+            if self.reach.is_cut_off:
+                await trio.sleep(RETRY_INTERVAL_S)
+                await self._check_end_of_cut()
+            else:
+                await self.reach.suspected.wait()
+                await self.is_cut_off_since(trio.current_time())
+
+    async def is_cut_off_since(self, failed_at: float) -> bool:
+        """Return whether a connection that failed at a time shows that VM is cut off.
+
+        Opens connections unless the answer is known.
+        """
+        async with self._check_lock:
+            if not self.reach.is_cut_off and self.reach.connected_at < failed_at:
+                await self._check()
+            return self.reach.is_cut_off
+
+    async def _check(self):
+        first, *others = self.reach.targets_to_check() or [None]
+        if first is None or await self._connects(first):
+            self.reach.end_check(is_cut_off=False)
+            return
+        reached: list[TargetState] = []
+        async with trio.open_nursery() as nursery:
+            for state in others:
+                nursery.start_soon(self._connect_into, state, reached)
+        self.reach.end_check(is_cut_off=not reached)
+        if not self.reach.is_cut_off:
+            return
+        # The failures so far were failures of this VM's links. Connections that are
+        # still open may have been closed by their targets unnoticed.
+        self.registry.forget_failures()
+        self.connections.close_idle(set())
+        tried = [state.entry.instance for state in (first, *others)]
+        self.log.event("targets unreachable", tried=tried)
+        await self.on_change()
+
+    async def _connect_into(self, state: TargetState, reached: list[TargetState]):
+        if await self._connects(state):
+            reached.append(state)
+
+    async def _check_end_of_cut(self):
+        for state in self.reach.targets_to_retry():
+            if not await self._connects(state):
+                return
+        self.reach.end_check(is_cut_off=False)
+        took_s = trio.current_time() - self.reach.cut_off_since
+        self.log.event("targets reachable again", after_s=round(took_s, 3))
+        await self.on_change()
+
+    async def _connects(self, state: TargetState) -> bool:
+        try:
+            connection = await self.connections.open(state)
+        except ConnectFailed as error:
+            self.log.event(
+                "target not reached",
+                target=state.entry.instance,
+                to=state.entry.failure_domain,
+                problem=str(error),
+            )
+            return False
+        self.connections.keep(state, connection)
+        return True
--- a/packages/gateway/plantainshed_gateway/registry.py
+++ b/packages/gateway/plantainshed_gateway/registry.py
@@ -286,6 +286,12 @@
         state.ramp_from = trio.current_time()
         self.ramps_until = state.ramp_from + RAMP_S
 
+    def forget_failures(self):
+        """End all ejections; used when the failures were not the targets' own."""
+        for state in self.states.values():
+            state.failures = state.ejections = 0
+            state.ejected_until = 0.0
+
     def drop_expired(self):
         """Drop targets whose entries were not written again after an outage."""
         if trio.current_time() < self._next_grace_end:
--- /dev/null
+++ b/packages/gateway/plantainshed_gateway/target_reach.py
@@ -0,0 +1,137 @@
+"""Detection of a VM that reaches no target although the targets are running.
+
+A failed connection to one target says nothing about the others. If several targets
+that are likely to be up refuse connections or do not answer at the same time, the links
+of this VM are the cause: it is cut off from the targets.
+"""
+
+import contextlib
+from random import Random
+
+import trio
+from attrs import define, field
+
+from .registry import Registry, TargetState
+
+# Time without an answer, while requests wait for one, after which targets are probed.
+SILENCE_S = 1.0
+# Minimum time between two checks that failed requests cause.
+CHECK_INTERVAL_S = 0.5
+# Number of targets that must be unreachable at once for this VM to count as cut off.
+PROBED_TARGETS = 3
+
+
+@define
+class TargetReach:
+    """Whether this VM reaches any target.
+
+    Parameters
+    ----------
+    registry : Registry
+    region, failure_domain : str
+        Of this VM.
+
+    Attributes
+    ----------
+    is_cut_off : bool
+        Whether this VM reaches no target.
+    cut_off_since : float
+        When `is_cut_off` was last set.
+    connected_at : float
+        When a connection to a target was last opened.
+    heard_at : float
+        When a target last answered or accepted a connection, or, if it was later, when
+        requests began to wait.
+    checked_at : float
+        When the last check ended.
+    waiting : int
+        Number of requests that wait for an answer.
+    suspected : trio.Event
+        Set when something suggests that this VM may be cut off.
+    """
+
+    registry: Registry
+    region: str
+    failure_domain: str
+    is_cut_off: bool = False
+    cut_off_since: float = float("-inf")
+    connected_at: float = float("-inf")
+    suspected: trio.Event = field(factory=trio.Event)
+    random: Random = field(factory=Random)
+    heard_at: float = float("-inf")
+    checked_at: float = float("-inf")
+    waiting: int = 0
+
+    @contextlib.contextmanager
+    def waiting_for_answer(self):
+        """Count a request as waiting for its answer for the duration of a block."""
+        if not self.waiting:
+            self.heard_at = trio.current_time()
+        self.waiting += 1
+        try:
+            yield
+        finally:
+            self.waiting -= 1
+
+    def note_answer(self):
+        """Record an answer of any target."""
+        self.heard_at = trio.current_time()
+
+    def note_connected(self):
+        """Record that a connection to a target was opened."""
+        self.connected_at = self.heard_at = trio.current_time()
+        if self.suspected.is_set():
+            self.suspected = trio.Event()
+
+    def note_failed(self):
+        """Record that a connection to a target failed or broke."""
+        if trio.current_time() - self.checked_at >= CHECK_INTERVAL_S:
+            self.suspected.set()
+
+    def check_silence(self):
+        """Suspect a cut if requests wait and no target has answered for a while."""
+        if self.waiting and trio.current_time() - self.heard_at >= SILENCE_S:
+            self.heard_at = trio.current_time()
+            self.note_failed()
+
+    def end_check(self, is_cut_off: bool):
+        """Record the result of a check."""
+        self.checked_at = trio.current_time()
+        self.suspected = trio.Event()
+        if is_cut_off and not self.is_cut_off:
+            self.cut_off_since = self.checked_at
+        self.is_cut_off = is_cut_off
+
+    def targets_to_check(self) -> list[TargetState]:
+        """Return targets whose connections tell whether this VM is cut off.
+
+        They are the likeliest to be up, and as different as possible: from the own
+        failure domain, the rest of the region, and other regions, and of different
+        pools. A partition between regions, or the loss of a whole pool, leaves some of
+        them reachable.
+        """
+        chosen: list[TargetState] = []
+        by_likelihood = sorted(
+            self._candidates(), key=lambda s: (s.is_ejected, -s.answered_at)
+        )
+        for distance in range(PROBED_TARGETS):
+            near = [s for s in by_likelihood if self._distance(s) == distance]
+            pools = {s.entry.pool for s in chosen}
+            chosen += [*(s for s in near if s.entry.pool not in pools), *near][:1]
+        chosen += [s for s in by_likelihood if s not in chosen]
+        return chosen[:PROBED_TARGETS]
+
+    def targets_to_retry(self) -> list[TargetState]:
+        """Return two targets, drawn at random, to find out whether a cut has ended."""
+        candidates = self._candidates()
+        return self.random.sample(candidates, min(2, len(candidates)))
+
+    def _candidates(self) -> list[TargetState]:
+        states = self.registry.states.values()
+        return [state for state in states if not state.entry.is_draining]
+
+    def _distance(self, state: TargetState) -> int:
+        domain = state.entry.failure_domain
+        if domain == self.failure_domain:
+            return 0
+        return 1 if self.registry.region_of.get(domain) == self.region else 2
--- a/packages/http/plantainshed_http/client.py
+++ b/packages/http/plantainshed_http/client.py
@@ -56,7 +56,7 @@
             with trio.fail_after(timeout_s):
                 stream = await open_tcp_stream(host.strip("[]"), int(port))
         except (OSError, trio.TooSlowError) as error:
-            raise ConnectFailed(f"{address}: {error or 'timed out'}") from error
+            raise ConnectFailed(f"{address}: {str(error) or 'timed out'}") from error
         enable_keepalive(stream)
         return cls(stream, address)
 
--- a/packages/measure/plantainshed_measure/placing_model.py
+++ b/packages/measure/plantainshed_measure/placing_model.py
@@ -32,6 +32,7 @@
 from plantainshed_gateway.registry import Registry, TargetState
 from plantainshed_gateway.round_trips import RoundTrips
 from plantainshed_gateway.settings import Bounds
+from plantainshed_gateway.target_reach import TargetReach
 from plantainshed_http.messages import RequestHead, ResponseHead
 
 from .placing_policies import PlacementPolicy
@@ -197,7 +198,11 @@
         self.round_trips = RoundTrips(self.registry.region_of, log)
         for other in world.regions:
             self.round_trips.record(other, fleet.round_trip_s(region, other))
-        self.connections = TargetConnections(self.round_trips, self._connect)
+        self.connections = TargetConnections(
+            self.round_trips,
+            TargetReach(self.registry, region, region),
+            self._connect,
+        )
         self.queues = QueueLimits(self.round_trips)
         self.placement = Placement(
             region,
--- a/tests/gateway/gateway_support.py
+++ b/tests/gateway/gateway_support.py
@@ -16,8 +16,10 @@
     Workspace,
 )
 from plantainshed_gateway.ports import CallerRequest, TargetEntry
+from plantainshed_gateway.registry import Registry
 from plantainshed_gateway.round_trips import RoundTrips
 from plantainshed_gateway.settings import Bounds
+from plantainshed_gateway.target_reach import TargetReach
 from plantainshed_http.messages import RequestHead
 
 BOUNDS = Bounds(
@@ -116,5 +118,9 @@
     return RoundTrips({}, DecisionLog("vm-0", "mil-a", io.StringIO()))
 
 
+def make_reach(registry: Registry | None = None) -> TargetReach:
+    return TargetReach(registry or Registry({}), "lombardia", "mil-a")
+
+
 def make_members(vm="vm-0") -> Members:
     return Members(make_heartbeat(vm))
--- a/tests/gateway/test_connections.py
+++ b/tests/gateway/test_connections.py
@@ -12,6 +12,7 @@
 from tests.gateway.gateway_support import (
     make_configuration,
     make_entry,
+    make_reach,
     make_round_trips,
     make_route,
 )
@@ -43,7 +44,9 @@
         self.registry.update_entries(entries, may_have_expired=False)
         self.states = list(self.registry.states.values())
         self.round_trips = make_round_trips()
-        self.connections = TargetConnections(self.round_trips, self.connect)
+        self.connections = TargetConnections(
+            self.round_trips, make_reach(), self.connect
+        )
 
     async def connect(self, address, timeout_s):
         self.opened += 1
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -21,6 +21,7 @@
     make_call,
     make_configuration,
     make_entry,
+    make_reach,
     make_round_trips,
     make_route,
 )
@@ -52,7 +53,7 @@
         registry,
         ColdTargets(BOUNDS, "vm-0"),
         QueueLimits(round_trips),
-        TargetConnections(round_trips),
+        TargetConnections(round_trips, make_reach(registry)),
         round_trips,
     )
 
