--- a/tests/platform/target_standin.py
+++ b/tests/platform/target_standin.py
@@ -43,6 +43,8 @@
         (no length, ends when the connection closes), ``unframed reset`` (the same,
         but reset halfway), ``cut`` (the body ends early). An empty string means no
         fault.
+    uses_per_connection : int
+        Number of answers after which it closes a connection; 0 for no limit.
     runs : list of Run
     """
 
@@ -53,6 +55,7 @@
     shed: int = 0
     response_faults: list[str] = field(factory=list)
     body: bytes = b"the target's bytes"
+    uses_per_connection: int = 0
     runs: list[Run] = field(factory=list)
     running: int = 0
     connections: int = 0
@@ -67,7 +70,11 @@
         self.connections += 1
         connection = h11.Connection(h11.SERVER)
         with contextlib.suppress(*SOCKET_ERRORS, h11.RemoteProtocolError):
+            uses = 0
             while await self._serve_one(stream, connection):
+                uses += 1
+                if uses == self.uses_per_connection:
+                    break
                 connection.start_next_cycle()
         await trio.aclose_forcefully(stream)
 
--- a/tests/platform/test_fleet.py
+++ b/tests/platform/test_fleet.py
@@ -1,136 +1,14 @@
 """Tests of several gateways that communicate over loopback, each at its own IP."""
 
-import contextlib
-import io
 import unittest
 
-import trio
-
-from plantainshed_gateway.context import Context
 from plantainshed_gateway.gateway import Gateway
 from plantainshed_gateway.heartbeats import VmState
-from plantainshed_gateway.logs import DecisionLog
-from plantainshed_gateway.peers import StateHandler
-from plantainshed_gateway.ports import Collection, Lookup, PlatformAdapter
-from plantainshed_gateway.settings import Addresses, Settings
-from plantainshed_http.server import Stopping, serve_http
-from plantainshed_platform.decoding import PlatformDecoder
-from plantainshed_platform.store import ObjectStore
-from plantainshed_platform.wire import PlatformWire
-from tests.platform.platform_support import (
-    BOUNDS,
-    configuration,
-    entry,
-    route,
-)
-from tests.platform.store_standin import StoreStandin
-from tests.platform.target_standin import TargetStandin, running_target
+from plantainshed_gateway.ports import Collection, Lookup
+from tests.platform.fleet_support import running_fleet
+from tests.platform.platform_support import configuration, route
 from tests.support import on_real_clock
 
-REGION_OF = {"mil-a": "lombardia", "ven-a": "veneto"}
-
-
-class StoreProxy:
-    """One VM's access to the store, which can be cut off for this VM alone."""
-
-    def __init__(self, store: StoreStandin):
-        self.store = store
-        self.is_open = True
-        self.pending: set[trio.CancelScope] = set()
-
-    async def handle(self, exchange):
-        if not self.is_open:
-            await exchange.reply(503, [], b"{}")
-            return
-        with trio.CancelScope() as scope:
-            self.pending.add(scope)
-            try:
-                await self.store.handle(exchange)
-            finally:
-                self.pending.discard(scope)
-
-    def close(self):
-        """Refuse further calls and cancel those that are waiting."""
-        self.is_open = False
-        for scope in self.pending:
-            scope.cancel()
-
-
-class Fleet:
-    """Gateways, the store that they share, and the proxy of each to it."""
-
-    def __init__(self, store: StoreStandin):
-        self.store = store
-        self.store_proxies: list[StoreProxy] = []
-        self.gateways: list[Gateway] = []
-
-    def count_config_watches(self) -> int:
-        """Return how many watches of the configuration the store has received."""
-        return sum("/config?watch" in call for call in self.store.calls)
-
-    async def until(self, condition):
-        with trio.fail_after(10):
-            while not condition():
-                await trio.sleep(0.01)
-
-
-async def listen(ip: str):
-    listeners = await trio.open_tcp_listeners(0, host=ip)
-    return listeners, listeners[0].socket.getsockname()[1]
-
-
-def make_settings(number: int, store: str, port: int, control: str) -> Settings:
-    ip = f"127.0.0.{number + 2}"
-    return Settings(
-        vm=f"edge-{number}",
-        failure_domain="mil-a" if number == 0 else "ven-a",
-        region="lombardia" if number == 0 else "veneto",
-        ip=ip,
-        region_of=REGION_OF,
-        listen=Addresses(f"{ip}:1", "", "", control, ""),
-        datagram_port=port,
-        seeds=tuple(f"127.0.0.{n + 2}:1" for n in range(3)),
-        store=store,
-        bounds=BOUNDS,
-    )
-
-
-@contextlib.asynccontextmanager
-async def running_fleet(count=3):
-    async with contextlib.AsyncExitStack() as stack:
-        target = TargetStandin("i-0")
-        await stack.enter_async_context(running_target(target))
-        fleet = Fleet(StoreStandin())
-        fleet.store.put("servers", "i-0", entry(target))
-        fleet.store.put("config", "main", configuration())
-        nursery = await stack.enter_async_context(trio.open_nursery())
-        stack.callback(nursery.cancel_scope.cancel)
-        datagram_port = None
-        for number in range(count):
-            proxy = StoreProxy(fleet.store)
-            fleet.store_proxies.append(proxy)
-            listeners, port = await listen("127.0.0.1")
-            nursery.start_soon(serve_http, proxy.handle, listeners, Stopping())
-            address = f"127.0.0.1:{port}"
-            ip = f"127.0.0.{number + 2}"
-            listeners, port = await listen(ip)
-            datagram_port = datagram_port or port
-            settings = make_settings(number, address, datagram_port, f"{ip}:{port}")
-            log = DecisionLog(settings.vm, settings.failure_domain, io.StringIO())
-            stack.enter_context(log.writing())
-            adapter = PlatformAdapter(
-                PlatformWire(), PlatformDecoder(), ObjectStore(address)
-            )
-            gateway = Gateway(Context(settings, adapter, log, 1))
-            fleet.gateways.append(gateway)
-            nursery.start_soon(gateway.run)
-            handler = StateHandler(gateway.replicas)
-            nursery.start_soon(serve_http, handler.handle, listeners, Stopping())
-        await fleet.until(
-            lambda: all(len(g.members.ready()) == count for g in fleet.gateways)
-        )
-        yield fleet
-
 
 def configuration_version(gateway: Gateway) -> int:
     return gateway.admission.configuration.version
@@ -221,11 +99,10 @@
         async with running_fleet() as fleet:
             lookup = Lookup("h", "veneto", "ven-a")
             first = fleet.gateways[0]
-            self.assertEqual(
-                sorted(first.lookup.addresses(lookup)), ["127.0.0.3:1", "127.0.0.4:1"]
-            )
+            addresses = [vm.address for vm in fleet.vms]
+            self.assertEqual(sorted(first.lookup.addresses(lookup)), addresses[1:])
             await fleet.gateways[1].announce_leaving()
-            await fleet.until(lambda: first.lookup.addresses(lookup) == ["127.0.0.4:1"])
+            await fleet.until(lambda: first.lookup.addresses(lookup) == addresses[2:])
 
 
 class TestQuotas(unittest.TestCase):
