--- a/tests/platform/platform_support.py
+++ b/tests/platform/platform_support.py
@@ -132,6 +132,7 @@
 
     def lines(self, event: str) -> list[dict]:
         """Return the log lines with the given message."""
+        self.gateway.log.flush()
         lines = [orjson.loads(line) for line in self.log.getvalue().splitlines()]
         return [line for line in lines if line["message"] == event]
 
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -289,6 +289,7 @@
         async with running_system(1, configuration(tenants=[tenant])) as system:
             statuses = [(await system.ask())[0] for _ in range(40)]
             self.assertIn(429, statuses)
+            await system.until(lambda: system.lines("refused"))
             refused = system.lines("refused")[0]
             self.assertEqual(refused["reason"], "over_quota")
             self.assertEqual(
