Let the member lists of a test really differ

It removed VMs from the table and left the cached digest of the table as it was, so that the VMs seemed to know the same VMs until something else changed the digest.

--- a/tests/platform/test_fleet.py
+++ b/tests/platform/test_fleet.py
@@ -141,8 +141,11 @@
             started, other = fleet.gateways[1], fleet.gateways[2]
             for proxy in fleet.store_proxies:
                 proxy.close()
-            del started.members.table["edge-2"]
-            del other.members.table["edge-1"]
+            for gateway, missing in ((started, "edge-2"), (other, "edge-1")):
+                del gateway.members.table[missing]
+                # The digest must show what the table contains, or nobody sees that the
+                # lists differ.
+                gateway.members._digest = None
             await fleet.until(
                 lambda: len(started.members.ready()) == len(other.members.ready()) == 3
             )
