Cut VMs from all targets in the soak and compare their callers' first tries

The soak had no fault in which a VM loses its links to the targets while everybody else reaches it. It now cuts one, half of all, most or all of a failure domain, in all forms: open connections carry nothing, are reset or live on, new ones get no answer or are refused, also while other faults last. Gateways run behind a small wrapper that binds connections to the VM's IP and makes new ones fail; the proxies of the targets block or reset open ones. Targets announce the end of a connection after 20 requests, so that new ones are needed. The report lists each cut with the counts.

--- a/tests/platform/soak/__main__.py
+++ b/tests/platform/soak/__main__.py
@@ -20,6 +20,7 @@
 from .faults import (
     STALL_THRESHOLD_S,
     FaultInjector,
+    draw_cuts,
     draw_faults,
     draw_registrations,
 )
@@ -107,7 +108,11 @@
 
 async def _soak(settings: SoakSettings, folder: Path) -> dict:
     requests: list[SentRequest] = []
-    faults = [*draw_faults(settings), *draw_registrations(settings)]
+    faults = [
+        *draw_faults(settings),
+        *draw_registrations(settings),
+        *draw_cuts(settings),
+    ]
     plan = sorted(faults, key=lambda fault: fault.start_s)
     sequences = draw_signals(settings)
     async with running_world(settings) as world:
@@ -224,6 +229,7 @@
             r: lines[:EXAMPLES_PER_RULE] for r, lines in findings.by_rule.items()
         },
         "excused_by_waits": findings.excused_by_waits,
+        "cuts": findings.cuts,
     }
 
 
--- a/tests/platform/soak/faults.py
+++ b/tests/platform/soak/faults.py
@@ -7,7 +7,8 @@
 from attrs import define, frozen
 
 from .processes import Vm
-from .settings import SoakSettings
+from .proxy import black_hole
+from .settings import STABLE_S, SoakSettings
 from .world import LARGE_WORKSPACE, SMALL_WORKSPACE, Target, World
 
 # Scope of a disturbance that affects every VM and target.
@@ -118,6 +119,32 @@
     return [Fault("vm_registers_unanswered", at, 3.0, rng.getrandbits(16))]
 
 
+# How open and new connections of VMs that lose their links to the targets behave: open
+# ones carry nothing, are reset, or live on; new ones get no answer or are refused.
+CUT_FORMS = (
+    ("hang", "hang"),
+    ("reset", "hang"),
+    ("reset", "refuse"),
+    ("live", "refuse"),
+)
+# Which VMs lose them: one, half of all, most or all of a failure domain.
+CUT_VMS = ("one", "half", "most of a domain", "domain")
+# How long a cut lasts beyond the time after which its callers count, in seconds.
+MEASURED_CUT_S = (2.0, 5.0)
+
+
+def draw_cuts(settings: SoakSettings) -> list[Fault]:
+    """Draw cuts between VMs and targets, apart from the other faults."""
+    rng = random.Random(f"{settings.seed}/cuts")
+    cuts = []
+    at = rng.uniform(0.5, 2.0)
+    while at < settings.duration_s:
+        lasts_s = STABLE_S + rng.uniform(*MEASURED_CUT_S)
+        cuts.append(Fault("vms_cut_from_targets", at, lasts_s, rng.getrandbits(16)))
+        at += lasts_s + rng.uniform(0.5, 4.0)
+    return cuts
+
+
 class FaultInjector:
     """Injects faults and records the periods that they disturb.
 
@@ -332,6 +359,43 @@
         await vm.stop()
         self._end_disturbances(disturbances)
 
+    async def vms_cut_from_targets(self, fault: Fault):
+        """Cut the links between some VMs and all targets."""
+        bits, form = divmod(fault.random_bits, len(CUT_FORMS))
+        open_form, new_form = CUT_FORMS[form]
+        vms = self._pick_vms_to_cut(bits)
+        proxies = [target.proxy for target in self.world.targets]
+        with black_hole() as hole:
+            addresses = [proxy.address for proxy in proxies]
+            for vm in vms:
+                vm.cut_from(addresses, hole if new_form == "hang" else None)
+                for proxy in proxies:
+                    if open_form == "hang":
+                        proxy.blocked_ips.add(vm.ip)
+                    elif open_form == "reset":
+                        proxy.reset_from(vm.ip)
+            cuts = await self._disturb(fault, *(vm.name for vm in vms))
+            for vm in vms:
+                vm.end_cut()
+                for proxy in proxies:
+                    proxy.blocked_ips.discard(vm.ip)
+                    proxy.wake()
+            self._end_disturbances(cuts)
+
+    def _pick_vms_to_cut(self, bits: int) -> list[Vm]:
+        bits, which = divmod(bits, len(CUT_VMS))
+        first = bits % len(self.vms)
+        rotated = self.vms[first:] + self.vms[:first]
+        if CUT_VMS[which] == "one":
+            return rotated[:1]
+        if CUT_VMS[which] == "half":
+            return rotated[: len(rotated) // 2]
+        name = rotated[0].failure_domain
+        domain = [vm for vm in rotated if vm.failure_domain == name]
+        if CUT_VMS[which] == "most of a domain" and len(domain) > 1:
+            return domain[:-1]
+        return domain
+
     async def vm_registers_unanswered(self, fault: Fault):
         """Kill a VM and lose the answer to its new registration.
 
--- a/tests/platform/soak/processes.py
+++ b/tests/platform/soak/processes.py
@@ -1,6 +1,7 @@
 """Runs the gateways of a soak, each as a process with its own loopback IP."""
 
 import contextlib
+import json
 import os
 import signal
 import subprocess
@@ -10,13 +11,15 @@
 import trio
 from attrs import define, field
 
+from plantainshed_coordination.addresses import split_address
 from tests.platform.daemon_support import filled_template, free_ports
 
+from .gateway import CUT_FILE_VARIABLE, IP_VARIABLE
 from .proxy import Proxy, running_proxy
 from .settings import GRACE_S, SoakSettings
 from .waits import CpuWaits, cpu_times_s
 
-GATEWAY_COMMAND = (sys.executable, "-m", "plantainshed_platform")
+GATEWAY_COMMAND = (sys.executable, "-m", "tests.platform.soak.gateway")
 RESTART_DELAY_S = 0.3
 STARTED_MESSAGE = b'"message":"start"'
 READY_MESSAGE = b'"message":"ready"'
@@ -82,6 +85,11 @@
         """Address that answers look-ups."""
         return f"{self.ip}:{self.ports[2]}"
 
+    @property
+    def cut_file(self) -> Path:
+        """File that cuts its links to the targets while it exists."""
+        return self.settings_file.with_suffix(".cut")
+
     @property
     def is_running(self) -> bool:
         """Whether the gateway process is running."""
@@ -131,7 +139,12 @@
             self.waits.start_process()
             process = await trio.lowlevel.open_process(
                 self.command,
-                env={**os.environ, "PLANTAINSHED_NODE_FILE": str(self.settings_file)},
+                env={
+                    **os.environ,
+                    "PLANTAINSHED_NODE_FILE": str(self.settings_file),
+                    IP_VARIABLE: self.ip,
+                    CUT_FILE_VARIABLE: str(self.cut_file),
+                },
                 stdout=out,
                 stderr=subprocess.STDOUT,
             )
@@ -189,6 +202,18 @@
         self.late_exits.append((self.stopping_since, trio.current_time()))
         self.kill()
 
+    def cut_from(self, targets: list[str], black_hole: str | None):
+        """Make its new connections to targets fail; see `gateway.link_connections`."""
+        addresses = [split_address(address) for address in targets]
+        hole = black_hole and split_address(black_hole)
+        written = self.cut_file.with_suffix(".new")
+        written.write_text(json.dumps({"targets": addresses, "black_hole": hole}))
+        written.rename(self.cut_file)
+
+    def end_cut(self):
+        """Let it connect to the targets again."""
+        self.cut_file.unlink(missing_ok=True)
+
     def change_settings(self):
         """Rewrite the settings file with a field that the gateway does not know."""
         self.settings_revision += 1
--- a/tests/platform/soak/promises.py
+++ b/tests/platform/soak/promises.py
@@ -20,7 +20,7 @@
     STABLE_S,
 )
 from .signals import SIGNAL_SEQUENCES
-from .world import RATE_LIMITS, Run, World
+from .world import LARGE_WORKSPACE, RATE_LIMITS, Run, World
 
 # Statuses which guarantee that the request has not run and never will.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -28,10 +28,17 @@
 MIN_SERVED_SHARE_AT_END = 0.9
 # Longest time that a VM may take for a request.
 MAX_REQUEST_S = ROUTE_TIMEOUT_S + 0.5 + MARGIN_S
+# While VMs are cut off from all targets, their callers' first tries are served at least
+# this often, relative to those at the other VMs, or only so many of all tries fail
+# there: a number and a share.
+MIN_SERVED_RATIO_AT_CUT = 2 / 3
+FAILED_AT_CUT = 10
+FAILED_SHARE_AT_CUT = 1 / 50
+CUT_KIND = "vms_cut_from_targets"
 # Disturbances that must not cut a running request.
 GRACEFUL_KINDS = frozenset({"vm_stop", *SIGNAL_SEQUENCES})
 # Those of them that suspend no other guarantee either.
-HARMLESS_KINDS = frozenset({"hup_hup"})
+HARMLESS_KINDS = frozenset({"hup_hup", CUT_KIND})
 # Disturbances that excuse a process which exits too late.
 PAUSE_KINDS = frozenset({"vm_pause", "stall"})
 
@@ -44,10 +51,13 @@
     ----------
     excused_by_waits : list of str
         Requests that took too long, but only because their VM waited for a CPU.
+    cuts : list of str
+        How callers were served during each cut between VMs and targets.
     """
 
     by_rule: dict[str, list[str]] = field(factory=lambda: defaultdict(list))
     excused_by_waits: list[str] = field(factory=list)
+    cuts: list[str] = field(factory=list)
 
     def add(self, rule: str, line: str):
         """Record one violation."""
@@ -91,6 +101,7 @@
         for run in self.world.runs:
             self._check_run(run, by_id.get(run.request_id))
         self._check_quotas()
+        self._check_cuts()
         self._check_recovery(settled_at, ended_at)
         for vm in self.vms:
             self._check_processes(vm)
@@ -237,6 +248,49 @@
                 line = f"{workspace}: {peak} runs in a window, {allowed:.0f} allowed"
                 self.findings.add("QUOTA", line)
 
+    def _check_cuts(self):
+        """Compare first tries at VMs that are cut off from the targets with others."""
+        cuts = defaultdict(list)
+        for disturbance in self.disturbances:
+            if disturbance.kind == CUT_KIND:
+                cuts[disturbance.began_at, disturbance.ended_at].append(disturbance)
+        for (began_at, ended_at), parts in sorted(cuts.items()):
+            names = {part.scope for part in parts}
+            at_cut, at_others = Counter(), Counter()
+            for request in self.requests:
+                vm = self.vm_by_address.get(request.vm_address)
+                if vm is None or not self._counts(request, vm, began_at, ended_at):
+                    continue
+                counter = at_cut if vm.name in names else at_others
+                counter[request.status == 200] += 1
+            self._check_cut(sorted(names), began_at, at_cut, at_others)
+
+    def _counts(self, request: SentRequest, vm: Vm, began_at, ended_at) -> bool:
+        """Return whether a request shows how callers are served during a cut."""
+        is_during = began_at + STABLE_S <= request.sent_at
+        is_during = is_during and 0 < request.ended_at <= ended_at
+        # Callers of the small workspace exceed its quota, and extra routes come and go.
+        return (
+            is_during
+            and request.workspace == LARGE_WORKSPACE
+            and request.status not in (401, 404)
+            and not self._is_disturbed({vm.name}, request.sent_at, request.ended_at)
+        )
+
+    def _check_cut(self, names, began_at, at_cut: Counter, at_others: Counter):
+        line = (
+            f"{names} cut at {began_at:.2f} served {at_cut[True]} of "
+            f"{at_cut.total()} first tries, the others {at_others[True]} of "
+            f"{at_others.total()}"
+        )
+        self.findings.cuts.append(line)
+        total = at_cut.total() + at_others.total()
+        if at_cut[False] <= FAILED_AT_CUT + FAILED_SHARE_AT_CUT * total:
+            return
+        served_elsewhere = at_others[True] / max(1, at_others.total())
+        if at_cut[True] < MIN_SERVED_RATIO_AT_CUT * served_elsewhere * at_cut.total():
+            self.findings.add("RECOVER", line)
+
     def _check_recovery(self, settled_at: float, ended_at: float):
         final_requests = [
             request
--- a/tests/platform/soak/proxy.py
+++ b/tests/platform/soak/proxy.py
@@ -1,6 +1,7 @@
 """A loopback proxy that delays, blocks (one way or both) or resets connections."""
 
 import contextlib
+import socket
 
 import trio
 from attrs import define, field
@@ -23,6 +24,8 @@
         Whether bytes pass to upstream, and from upstream.
     accepts : bool
         Whether new connections are accepted; otherwise they are reset.
+    blocked_ips : set of str
+        Addresses whose open connections carry nothing.
     """
 
     upstream: str
@@ -31,6 +34,7 @@
     forward: bool = True
     backward: bool = True
     accepts: bool = True
+    blocked_ips: set[str] = field(factory=set)
     open_streams: set = field(factory=set)
     changed: trio.Event = field(factory=trio.Event)
 
@@ -50,11 +54,24 @@
             with contextlib.suppress(OSError):
                 stream.socket.close()
 
+    def reset_from(self, ip: str):
+        """Reset each open connection from an address."""
+        for stream in list(self.open_streams):
+            with contextlib.suppress(OSError):
+                if stream.socket.getpeername()[0] == ip:
+                    stream.socket.close()
+
+    def passes(self, ip: str, is_forward: bool) -> bool:
+        """Return whether bytes of a connection from an address pass."""
+        is_open = self.forward if is_forward else self.backward
+        return is_open and ip not in self.blocked_ips
+
     async def serve(self, stream):
         """Forward one connection until either side closes it."""
         if not self.accepts:
             await trio.aclose_forcefully(stream)
             return
+        ip = stream.socket.getpeername()[0]
         host, _, port = self.upstream.rpartition(":")
         try:
             upstream_stream = await trio.open_tcp_stream(host, int(port))
@@ -63,22 +80,19 @@
             return
         self.open_streams |= {stream, upstream_stream}
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(
-                self._relay, stream, upstream_stream, True, nursery.cancel_scope
-            )
-            nursery.start_soon(
-                self._relay, upstream_stream, stream, False, nursery.cancel_scope
-            )
+            scope = nursery.cancel_scope
+            nursery.start_soon(self._relay, stream, upstream_stream, ip, True, scope)
+            nursery.start_soon(self._relay, upstream_stream, stream, ip, False, scope)
         for endpoint in (stream, upstream_stream):
             self.open_streams.discard(endpoint)
             await trio.aclose_forcefully(endpoint)
 
-    async def _relay(self, source, sink, is_forward: bool, scope):
+    async def _relay(self, source, sink, ip: str, is_forward: bool, scope):
         with contextlib.suppress(*SOCKET_ERRORS):
             while data := await source.receive_some(CHUNK_BYTES):
                 if self.delay_s:
                     await trio.sleep(self.delay_s)
-                while not (self.forward if is_forward else self.backward):
+                while not self.passes(ip, is_forward):
                     await self.changed.wait()
                 await sink.send_all(data)
         scope.cancel()
@@ -96,5 +110,21 @@
         nursery.cancel_scope.cancel()
 
 
+@contextlib.contextmanager
+def black_hole():
+    """Yield a loopback address that answers no connection.
+
+    Its queue is full, so that the kernel drops further connections.
+    """
+    with contextlib.ExitStack() as stack:
+        server = socket.create_server(("127.0.0.1", 0), backlog=0)
+        address = stack.enter_context(server).getsockname()
+        for _ in range(2):
+            filler = stack.enter_context(socket.socket())
+            filler.setblocking(False)
+            filler.connect_ex(address)
+        yield f"{address[0]}:{address[1]}"
+
+
 async def _serve(proxy: Proxy, listeners):
     await trio.serve_listeners(proxy.serve, listeners)
--- a/tests/platform/soak/world.py
+++ b/tests/platform/soak/world.py
@@ -13,6 +13,8 @@
 from .settings import ROUTE_TIMEOUT_S, SoakSettings
 
 ROUTE_TIMEOUT = f"{ROUTE_TIMEOUT_S * 1000:.0f}ms"
+# Requests after which targets close a connection, so that new ones are always needed.
+MAX_CONNECTION_USES = 20
 LARGE_WORKSPACE, SMALL_WORKSPACE = "comune", "piccolo"
 RATE_LIMITS = {LARGE_WORKSPACE: (400, 200), SMALL_WORKSPACE: (6, 6)}
 
@@ -154,7 +156,12 @@
     world = World(settings)
     async with contextlib.AsyncExitStack() as stack:
         for number in range(settings.targets):
-            target = Target(f"target-{number}", slots=8, run_time_s=0.03)
+            target = Target(
+                f"target-{number}",
+                slots=8,
+                run_time_s=0.03,
+                uses_per_connection=MAX_CONNECTION_USES,
+            )
             target.runs = RecordingList(target, world)
             await stack.enter_async_context(running_target(target))
             proxy = running_proxy(target.address)
--- a/tests/platform/target_standin.py
+++ b/tests/platform/target_standin.py
@@ -44,7 +44,8 @@
         but reset halfway), ``cut`` (the body ends early). An empty string means no
         fault.
     uses_per_connection : int
-        Number of answers after which it closes a connection; 0 for no limit.
+        Number of requests after which it announces that it closes the connection; 0
+        for no limit.
     runs : list of Run
     """
 
@@ -71,14 +72,17 @@
         connection = h11.Connection(h11.SERVER)
         with contextlib.suppress(*SOCKET_ERRORS, h11.RemoteProtocolError):
             uses = 0
-            while await self._serve_one(stream, connection):
+            is_open = True
+            while is_open:
                 uses += 1
-                if uses == self.uses_per_connection:
-                    break
-                connection.start_next_cycle()
+                is_last = uses == self.uses_per_connection
+                is_open = await self._serve_one(stream, connection, is_last)
+                is_open = is_open and not is_last
+                if is_open:
+                    connection.start_next_cycle()
         await trio.aclose_forcefully(stream)
 
-    async def _serve_one(self, stream, connection) -> bool:
+    async def _serve_one(self, stream, connection, is_last: bool) -> bool:
         request, body = await _read_request(stream, connection)
         if request is None:
             return False
@@ -99,9 +103,9 @@
             await trio.sleep(self.run_time_s)
         finally:
             self.running -= 1
-        return await self._answer(stream, connection, headers)
+        return await self._answer(stream, connection, headers, is_last)
 
-    async def _answer(self, stream, connection, headers) -> bool:
+    async def _answer(self, stream, connection, headers, is_last: bool) -> bool:
         fault = self.response_faults.pop(0) if self.response_faults else ""
         full_body = self.body_for(headers)
         seal = [("Server-Seal", f"seal-{self.instance}")]
@@ -128,6 +132,8 @@
             seal.append(("Content-Encoding", "gzip"))
         if fault == "unsigned":
             seal = []
+        if is_last:
+            seal.append(("Connection", "close"))
         status = 500 if fault == "fails" else 200
         await self._reply(stream, connection, status, headers, full_body, seal)
         if fault == "after":
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -14,6 +14,8 @@
 import trio
 from attrs import field, frozen
 
+from plantainshed_http.client import ClientConnection
+from plantainshed_http.errors import ConnectFailed
 from tests.platform.soak.__main__ import (
     ExitCode,
     _cpu_times,
@@ -23,17 +25,21 @@
 )
 from tests.platform.soak.callers import SentRequest
 from tests.platform.soak.faults import (
+    CUT_FORMS,
+    CUT_VMS,
     FAULT_KINDS,
     SCOPE_ALL,
     Disturbance,
     Fault,
     FaultInjector,
+    draw_cuts,
     draw_faults,
     draw_registrations,
 )
 from tests.platform.soak.processes import Vm
-from tests.platform.soak.promises import InvariantChecker
-from tests.platform.soak.settings import SoakSettings
+from tests.platform.soak.promises import CUT_KIND, InvariantChecker
+from tests.platform.soak.proxy import black_hole
+from tests.platform.soak.settings import STABLE_S, SoakSettings
 from tests.platform.soak.signals import (
     MAX_SEQUENCES,
     SIGNAL_SEQUENCES,
@@ -138,6 +144,14 @@
         self.assertNotIn(fault.kind, FAULT_KINDS)
         self.assertEqual(draw_registrations(SETTINGS), [fault])
 
+    def test_each_form_and_extent_of_cuts_is_drawn(self):
+        cuts = [cut for n in range(200) for cut in draw_cuts(SoakSettings(n, 8.0))]
+        self.assertTrue(all(callable(getattr(FaultInjector, c.kind)) for c in cuts))
+        kinds = len(CUT_FORMS) * len(CUT_VMS)
+        self.assertEqual({cut.random_bits % kinds for cut in cuts}, set(range(kinds)))
+        self.assertEqual(draw_cuts(SETTINGS), draw_cuts(SETTINGS))
+        self.assertGreater(min(cut.duration_s for cut in cuts), STABLE_S)
+
 
 class TestDrawSignals(unittest.TestCase):
     def test_same_seed_draws_the_same_few_sequences(self):
@@ -560,3 +574,49 @@
             violated_rules([refused], [], issued_at={"large-0": 7.5}), ["DENIED"]
         )
         self.assertEqual(violated_rules([refused], [], issued_at={"large-0": 8.5}), [])
+
+
+def rules_of_cut(statuses, others=(200,) * 200, *disturbances, after_s=STABLE_S):
+    """Check requests to a VM that is cut off from the targets, and to another one."""
+    vms = [make_vm(), make_vm()]
+    vms[1].name, vms[1].ports = "vm-1", [7, 2, 3, 4, 5, 6]
+    cut = Disturbance(CUT_KIND, "vm-0", 10.0, 20.0)
+    requests = [
+        make_request(
+            f"r-{vm.name}-{n}",
+            status=status,
+            sent_at=10.0 + after_s,
+            vm_address=vm.request_address,
+        )
+        for vm, answered in zip(vms, (statuses, others), strict=True)
+        for n, status in enumerate(answered)
+    ]
+    requests.append(make_request("last", sent_at=100.0))
+    world = World(SETTINGS)
+    checker = InvariantChecker(world, vms, requests, [cut, *disturbances])
+    return sorted(checker.check(90.0, 200.0).by_rule)
+
+
+class TestCuts(unittest.TestCase):
+    """VMs that were cut off from all targets served almost nobody."""
+
+    def test_callers_of_cut_vms_served_far_less_often(self):
+        self.assertEqual(rules_of_cut((503,) * 50), ["RECOVER"])
+        self.assertEqual(rules_of_cut((503,) * 50 + (200,) * 90), ["RECOVER"])
+
+    def test_few_failures_are_allowed(self):
+        self.assertEqual(rules_of_cut((200,) * 50 + (503,) * 14), [])
+        self.assertEqual(rules_of_cut((503,) * 10), [])
+
+    def test_same_failures_elsewhere_are_no_fault_of_the_cut(self):
+        self.assertEqual(rules_of_cut((503,) * 50, (503,) * 200), [])
+
+    def test_time_to_detect_the_cut_and_other_faults_excuse(self):
+        self.assertEqual(rules_of_cut((503,) * 50, after_s=1.0), [])
+        kill = Disturbance("vm_kill", "vm-0", 11.0, 12.0)
+        self.assertEqual(rules_of_cut((503,) * 50, (200,) * 200, kill), [])
+
+    @on_real_clock
+    async def test_black_hole_answers_no_connection(self):
+        with black_hole() as address, self.assertRaises(ConnectFailed):
+            await ClientConnection.open(address, 0.2)
