Send idempotent requests again that wait for an answer when a VM loses its links

On a VM whose links carry nothing any more, requests in flight waited until their deadlines, also after the VM knew that it reaches no target. Idempotent ones are now cancelled then and go through another VM, within the route's attempts and the retry budget; others still wait, as their answers may arrive. If answers came in the last half second, open connections live on, and nothing is cancelled.

Three tests of target_reach without sockets.

--- a/packages/gateway/plantainshed_gateway/forwarding.py
+++ b/packages/gateway/plantainshed_gateway/forwarding.py
@@ -61,9 +61,14 @@
         connection = await self._connect(call, state)
         sent_at = trio.current_time()
         try:
-            with self.connections.reach.waiting_for_answer():
+            is_idempotent = call.route.is_idempotent
+            with self.connections.reach.waiting_for_answer(is_idempotent) as scope:
                 await self._send_request(call, state, connection)
                 answer = await self._read_answer(call, state, connection)
+            if scope.cancelled_caught:
+                raise AttemptFailed(
+                    Reason.CUT_OFF, "this VM reaches no target any more", True
+                )
             yield answer
         except ConnectionBroken as error:
             self.connections.reach.note_failed()
--- a/packages/gateway/plantainshed_gateway/serving.py
+++ b/packages/gateway/plantainshed_gateway/serving.py
@@ -382,7 +382,7 @@
     def _record_failure(self, call: Call, state: TargetState, failure: AttemptFailed):
         if failure.reason in (Reason.CONNECT_FAILED, Reason.OTHER_INSTANCE):
             state.note_unreachable()
-        elif failure.reason is not Reason.TARGET_BUSY:
+        elif failure.reason not in (Reason.TARGET_BUSY, Reason.CUT_OFF):
             state.note_failure()
         self._log_failure(call, state.entry.instance, failure)
 
--- a/packages/gateway/plantainshed_gateway/target_reach.py
+++ b/packages/gateway/plantainshed_gateway/target_reach.py
@@ -15,6 +15,9 @@
 
 # Time without an answer, while requests wait for one, after which targets are probed.
 SILENCE_S = 1.0
+# Time without an answer after which requests of a VM that is cut off are sent again.
+# Connections that live on still answer.
+MIN_SILENCE_S = 0.5
 # Minimum time between two checks that failed requests cause.
 CHECK_INTERVAL_S = 0.5
 # Number of targets that must be unreachable at once for this VM to count as cut off.
@@ -46,6 +49,8 @@
         When the last check ended.
     waiting : int
         Number of requests that wait for an answer.
+    repeatable : set of trio.CancelScope
+        Scopes of the idempotent ones among them.
     suspected : trio.Event
         Set when something suggests that this VM may be cut off.
     """
@@ -61,23 +66,32 @@
     heard_at: float = float("-inf")
     checked_at: float = float("-inf")
     waiting: int = 0
+    repeatable: set[trio.CancelScope] = field(factory=set)
 
     @contextlib.contextmanager
-    def waiting_for_answer(self):
-        """Count a request as waiting for its answer for the duration of a block."""
+    def waiting_for_answer(self, is_idempotent: bool):
+        """Count a request as waiting for its answer for the duration of a block.
+
+        If this VM is cut off meanwhile, the block is cancelled for an idempotent
+        request, so that another VM can send it. Yields the scope that is cancelled.
+        """
         began_at = trio.current_time()
         if not self.waiting:
             self.heard_at = began_at
         self.waiting += 1
-        try:
-            yield
-        except trio.Cancelled:
-            if self.heard_at <= began_at:
-                # Callers' deadlines may be too short for `check_silence`.
-                self.note_failed()
-            raise
-        finally:
-            self.waiting -= 1
+        with trio.CancelScope() as scope:
+            if is_idempotent:
+                self.repeatable.add(scope)
+            try:
+                yield scope
+            except trio.Cancelled:
+                if self.heard_at <= began_at:
+                    # Callers' deadlines may be too short for `check_silence`.
+                    self.note_failed()
+                raise
+            finally:
+                self.waiting -= 1
+                self.repeatable.discard(scope)
 
     def note_answer(self):
         """Record an answer of any target."""
@@ -97,7 +111,6 @@
     def check_silence(self):
         """Suspect a cut if requests wait and no target has answered for a while."""
         if self.waiting and trio.current_time() - self.heard_at >= SILENCE_S:
-            self.heard_at = trio.current_time()
             self.note_failed()
 
     def end_check(self, is_cut_off: bool):
@@ -106,8 +119,14 @@
         self.suspected = trio.Event()
         if is_cut_off and not self.is_cut_off:
             self.cut_off_since = self.checked_at
+            if self.checked_at - self.heard_at >= MIN_SILENCE_S:
+                self._cancel_repeatable()
         self.is_cut_off = is_cut_off
 
+    def _cancel_repeatable(self):
+        for scope in self.repeatable:
+            scope.cancel()
+
     def targets_to_check(self) -> list[TargetState]:
         """Return targets whose connections tell whether this VM is cut off.
 
--- a/tests/gateway/test_target_reach.py
+++ b/tests/gateway/test_target_reach.py
@@ -125,7 +125,7 @@
         """Guards against a cut that is not noticed while no connection is opened."""
         links.cut()
         links.hangs = True
-        with links.reach.waiting_for_answer():
+        with links.reach.waiting_for_answer(False):
             for _ in range(int(DETECTED_WITHIN_S / 0.25)):
                 await trio.sleep(0.25)
                 links.reach.check_silence()
@@ -136,7 +136,7 @@
         """Guards against few requests that all end before silence is noticed."""
         links.cut()
         links.hangs = True
-        with trio.move_on_after(SILENCE_S / 4), links.reach.waiting_for_answer():
+        with trio.move_on_after(SILENCE_S / 4), links.reach.waiting_for_answer(False):
             await trio.sleep_forever()
         await trio.sleep(DETECTED_WITHIN_S - SILENCE_S)
         self.assertTrue(links.reach.is_cut_off)
@@ -161,6 +161,40 @@
         self.assertEqual([s for s in links.states if s.is_ejected], [])
 
 
+class TestRequestsInFlight(unittest.TestCase):
+    async def wait_in_flight(self, links, is_idempotent: bool) -> bool:
+        """Return whether a request in flight is cancelled when a cut is found."""
+        links.cut()
+        with trio.move_on_after(DETECTED_WITHIN_S):
+            with links.reach.waiting_for_answer(is_idempotent) as scope:
+                await trio.sleep(0.6)
+                await links.fail_one()
+                await trio.sleep_forever()
+        return scope.cancelled_caught
+
+    @with_links
+    async def test_idempotent_request_is_cancelled(self, links):
+        self.assertTrue(await self.wait_in_flight(links, is_idempotent=True))
+
+    @with_links
+    async def test_other_request_is_not_cancelled(self, links):
+        """Guards against giving up a request whose answer may still arrive."""
+        self.assertFalse(await self.wait_in_flight(links, is_idempotent=False))
+
+    @with_links
+    async def test_request_on_a_connection_that_lives_on_is_not_cancelled(self, links):
+        """Guards against running requests again that are about to be answered."""
+        links.cut()
+        with trio.move_on_after(1.0):
+            with links.reach.waiting_for_answer(True) as scope:
+                await trio.sleep(0.6)
+                links.reach.note_answer()
+                await links.fail_one()
+                await trio.sleep_forever()
+        self.assertTrue(links.reach.is_cut_off)
+        self.assertFalse(scope.cancelled_caught)
+
+
 class TestFalseAlarms(unittest.TestCase):
     @with_links
     async def test_one_target_down(self, links):
@@ -190,7 +224,7 @@
     @with_links
     async def test_slow_answers_cost_few_connections(self, links):
         """Guards against a connection for each slow request."""
-        with links.reach.waiting_for_answer():
+        with links.reach.waiting_for_answer(False):
             for _ in range(40):
                 await trio.sleep(0.25)
                 links.reach.check_silence()
--- a/tests/platform/test_cut_from_targets.py
+++ b/tests/platform/test_cut_from_targets.py
@@ -108,14 +108,14 @@
                     self.check_served(*await play_cut(fleet, fleet.vms[:2], form))
 
 
-async def ask(vm: FleetVm, path="/read/1", method="GET", body=b"", key=KEY):
+async def ask(vm: FleetVm, path="/read/1", method="GET", body=b"", deadline_ms="1000"):
     """Send one request; return its status and headers, and how long it took."""
     headers = {
         "host": HOST,
         "request-id": f"ask-{trio.current_time()}",
         "affinity-key": "17",
-        "deadline-ms": "1000",
-        "authorization": f"Bearer {key}",
+        "deadline-ms": deadline_ms,
+        "authorization": f"Bearer {KEY}",
     }
     began_at = trio.current_time()
     status, answered, _ = await send(vm.address, method, path, headers, body)
@@ -284,6 +284,28 @@
                 self.assertEqual(gateway.poison.recent_crashes(), ())
 
 
+class TestRequestsInFlight(unittest.TestCase):
+    @on_real_clock
+    async def test_idempotent_request_is_sent_through_another_vm(self):
+        """Guards against requests that wait for an answer that cannot arrive."""
+        paths = [route(timeout="8000ms")]
+        target = TargetStandin("i-0", run_time_s=0.2)
+        async with running_fleet(2, [target], configuration(paths=paths)) as fleet:
+            vm, results = fleet.vms[0], []
+
+            async def ask_once():
+                results.append(await ask(vm, deadline_ms="8000"))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(ask_once)
+                await fleet.until(lambda: target.runs)
+                vm.link.cut("hang")
+            status, _, took_s = results[0]
+            self.assertEqual(status, 200)
+            self.assertLess(took_s, STABLE_S)
+            self.assertEqual(len(target.runs), 2)
+
+
 class TestWholeFleetCutOff(unittest.TestCase):
     @on_real_clock
     async def test_requests_are_refused_at_once(self):
