Forward requests under a slightly older configuration where it handles them alike

Found by reading the forwarding again: - After each change of the configuration, VMs that had it later refused to forward anything, up to 0.75 s in large fleets. They now refuse only if route, workspace or pool differ; the VM that admitted the request names what it selected, and its choice among the pools of a route is kept. - A key that was unknown to the forwarding VM, or a target that refused its connection, made the other VM avoid it for a second; several such requests left no VM to ask. Only reasons that concern all requests do so now. - A VM of an older build answers 404 to a forwarded request, which was passed on to the caller. An answer now counts as a target's only if the forwarding VM marks it.

Each VM that did not answer is logged with its reason. A target's refused connection has no test of its own.

--- a/packages/gateway/plantainshed_gateway/call.py
+++ b/packages/gateway/plantainshed_gateway/call.py
@@ -78,6 +78,8 @@
         self.deadline = min(self.deadline, now + relayed.deadline_s)
         self.cancel_at = min(self.cancel_at, now + relayed.cancel_s)
         self.attempts = relayed.attempts
+        if any(relayed.pool == weighted.pool for weighted in self.route.pools):
+            self.pool = relayed.pool
 
     def note_chosen(self, state: TargetState):
         """Record the target chosen for an attempt, and its load at that time."""
--- a/packages/gateway/plantainshed_gateway/gateway.py
+++ b/packages/gateway/plantainshed_gateway/gateway.py
@@ -146,6 +146,7 @@
                 settings.listen.control.rpartition(":")[2],
                 RelayChoice(self.members),
                 self.round_trips,
+                context.log,
             ),
         )
         self.lookup = LookupTable(self.members, settings.bounds.longest_ttl_s)
--- a/packages/gateway/plantainshed_gateway/reasons.py
+++ b/packages/gateway/plantainshed_gateway/reasons.py
@@ -28,3 +28,4 @@
     STOPPING = "stopping"
     CUT_OFF = "cut_off"
     OUTDATED = "outdated"
+    RELAY_FAILED = "relay_failed"
--- a/packages/gateway/plantainshed_gateway/relay_messages.py
+++ b/packages/gateway/plantainshed_gateway/relay_messages.py
@@ -33,6 +33,10 @@
         Number of attempts so far.
     configuration : int
         Version of the newest configuration that this VM's requests were handled with.
+    route, pool : str
+        Names of the route and pool that this VM selected.
+    workspace : str or None
+        Name of the workspace that it found.
     """
 
     vm: str
@@ -40,6 +44,9 @@
     cancel_s: float
     attempts: int
     configuration: int
+    route: str
+    pool: str
+    workspace: str | None
 
     def encode(self) -> bytes:
         """Return the value of the header."""
@@ -56,6 +63,9 @@
                 float(fields["cancel_s"]),
                 int(fields["attempts"]),
                 int(fields["configuration"]),
+                str(fields["route"]),
+                str(fields["pool"]),
+                fields["workspace"] and str(fields["workspace"]),
             )
         except (ValueError, TypeError, KeyError) as error:
             raise BadRequest(f"{RELAY_HEADER.decode()}: {error!r}") from error
