--- a/tests/platform/test_cut_from_targets.py
+++ b/tests/platform/test_cut_from_targets.py
@@ -302,6 +302,18 @@
             self.assertIn("there", forwarded)
             self.assertNotIn("here", forwarded)
 
+    @on_real_clock
+    async def test_forwarded_run_is_cancelled_when_the_caller_leaves(self):
+        """Guards against targets that work for callers who have left."""
+        async with running_fleet(2, [TargetStandin("i-0", run_time_s=1.0)]) as fleet:
+            await cut_off(fleet, fleet.vms[0])
+            with trio.move_on_after(0.2):
+                await ask(fleet.vms[0])
+            await fleet.until(lambda: fleet.vms[1].lines("dropped"))
+            (dropped,) = fleet.vms[1].lines("dropped")
+            self.assertEqual(dropped["reason"], "caller_left")
+            self.assertEqual(dropped["relayed_for"], "edge-0")
+
     @on_real_clock
     async def test_same_request_is_not_blamed_for_a_cut(self):
         """Guards against a request refused everywhere because links were reset."""
--- a/tests/platform/test_daemon.py
+++ b/tests/platform/test_daemon.py
@@ -13,6 +13,7 @@
 import trio
 
 from plantainshed_gateway.daemon import accept_period_s
+from plantainshed_gateway.relay_messages import RelayedRequest
 from plantainshed_http.errors import HttpError
 from plantainshed_http.server import STOP_GRACE_S
 from tests.platform.daemon_support import IP, filled_template, free_ports
@@ -45,6 +46,7 @@
         self.process = process
         self.settings = settings
         self.callers, self.ready, self.lookup = (f"{IP}:{p}" for p in ports[:3])
+        self.control = f"{IP}:{ports[3]}"
         self.metrics = f"{IP}:{ports[5]}"
         self.store = store
         self.targets = targets
@@ -136,6 +138,33 @@
         self.assertGreater(accept_period_s(6.0), 2.0)
 
 
+class TestStopWhileForwarding(unittest.TestCase):
+    @on_real_clock
+    async def test_forwarded_request_is_answered(self):
+        """Guards against stops that cut what a VM forwards for one that is cut off."""
+        relayed = RelayedRequest("vm-1", 2.0, 2.0, 0, 7, "read", "calendario", "comune")
+        headers = {
+            "host": HOST,
+            "request-id": "r-1",
+            "authorization": f"Bearer {KEY}",
+            "plantainshed-relay": relayed.encode().decode(),
+        }
+        answers = []
+
+        async def ask(daemon):
+            answers.append(await send(daemon.control, "GET", "/read/1", headers))
+
+        async with running_daemon(run_time_s=0.8) as daemon:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(ask, daemon)
+                await daemon.until_request_runs()
+                daemon.process.send_signal(signal.SIGTERM)
+            with trio.fail_after(10):
+                await daemon.process.wait()
+        self.assertEqual(answers[0][0], 200)
+        self.assertEqual(daemon.process.returncode, 0)
+
+
 class TestStop(unittest.TestCase):
     @on_real_clock
     async def test_stop_completes_running_requests(self):
