Name the object of a refused request in the log

Why one object's requests were refused was slow to find, because only answered requests were logged with their object. test_refusal_over_quota_names_route_and_workspace failed before (KeyError: 'object').

--- a/packages/gateway/plantainshed_gateway/serving.py
+++ b/packages/gateway/plantainshed_gateway/serving.py
@@ -487,6 +487,7 @@
             reason=refusal.reason,
             problem=str(refusal),
             retry_after_s=refusal.retry_after_s,
+            object=call.request.affinity if call else None,
             tried=call.tried if call else [],
             load=call.load if call else None,
             load_age_s=call.load_age_s if call else None,
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -295,6 +295,7 @@
             self.assertEqual(
                 (refused["route"], refused["workspace"]), ("read", "comune")
             )
+            self.assertEqual(refused["object"], "17")
 
 
 class TestTime(unittest.TestCase):
