Move the admission of forwarded requests to a module of its own; name distances

The stand-in of a silent link now takes bytes and holds them, as a kernel does, in place of making the sender wait. Behaviour is unchanged; the 18, 15 and 7 tests of cuts, of target_reach and of relay_choice pass.

--- a/packages/gateway/plantainshed_gateway/reach_prober.py
+++ b/packages/gateway/plantainshed_gateway/reach_prober.py
@@ -54,12 +54,12 @@
                 await self._check_end_of_cut()
             else:
                 await self.reach.suspected.wait()
-                await self.is_cut_off_since(trio.current_time())
+                await self.confirm_cut(trio.current_time())
 
-    async def is_cut_off_since(self, failed_at: float) -> bool:
-        """Return whether a connection that failed at a time shows that VM is cut off.
+    async def confirm_cut(self, failed_at: float) -> bool:
+        """Return whether this VM is cut off, given that a connection failed.
 
-        Opens connections unless the answer is known.
+        Opens connections to other targets unless one was opened since.
         """
         async with self._check_lock:
             if not self.reach.is_cut_off and self.reach.connected_at < failed_at:
--- a/packages/gateway/plantainshed_gateway/serving.py
+++ b/packages/gateway/plantainshed_gateway/serving.py
@@ -27,6 +27,7 @@
 from .reach_prober import ReachProber
 from .reasons import Reason
 from .registry import TargetState
+from .relay_admission import require_same_handling
 from .relay_messages import (
     RelayedRequest,
     configuration_mark,
@@ -147,7 +148,7 @@
                 await self.admission.take_quota(call.workspace)
                 call.quota_taken_at = trio.current_time()
             else:
-                self._require_same_handling(call, relayed)
+                require_same_handling(call, relayed, self._configuration_version)
                 call.apply_relayed(relayed)
             await self._run(exchange, call)
         except Refusal as refusal:
@@ -173,22 +174,6 @@
                 STOPPING_RETRY_AFTER_S,
             )
 
-    def _require_same_handling(self, call: Call, relayed: RelayedRequest):
-        """Refuse a request that a newer configuration handles in another way."""
-        is_older = self._configuration_version < relayed.configuration
-        pools = {weighted_pool.pool for weighted_pool in call.route.pools}
-        if is_older and (
-            (call.route.name, call.workspace_name) != (relayed.route, relayed.workspace)
-            or relayed.pool not in pools
-        ):
-            raise Refusal(
-                HTTPStatus.SERVICE_UNAVAILABLE,
-                Reason.OUTDATED,
-                f"this VM follows version {self._configuration_version}, "
-                f"{relayed.vm} version {relayed.configuration}",
-                NO_ROOM_RETRY_AFTER_S,
-            )
-
     async def _await_startup(self, began_at: float):
         deadline = min(began_at + MAX_STARTUP_WAIT_S, self.started_at + STARTUP_S)
         with trio.move_on_at(deadline):
@@ -287,7 +272,7 @@
         """
         if failure.is_final or failure.reason is not Reason.CONNECT_FAILED:
             return False
-        return not call.may_have_run and await self.reach_prober.is_cut_off_since(
+        return not call.may_have_run and await self.reach_prober.confirm_cut(
             call.attempted_at
         )
 
@@ -420,7 +405,7 @@
         try:
             connection = await self.forwarder.connections.open(state)
         except ConnectFailed:
-            if await self.reach_prober.is_cut_off_since(began_at):
+            if await self.reach_prober.confirm_cut(began_at):
                 return
             state.note_unreachable()
             self.poison.note_crash(call.fingerprint, state.entry.instance)
--- a/packages/gateway/plantainshed_gateway/target_reach.py
+++ b/packages/gateway/plantainshed_gateway/target_reach.py
@@ -6,6 +6,7 @@
 """
 
 import contextlib
+from enum import Enum
 from random import Random
 
 import trio
@@ -24,6 +25,14 @@
 PROBED_TARGETS = 3
 
 
+class Distance(Enum):
+    """Where a target is, seen from this VM."""
+
+    OWN_DOMAIN = "own failure domain"
+    OWN_REGION = "own region"
+    OTHER_REGION = "other region"
+
+
 @define
 class TargetReach:
     """Whether this VM reaches any target.
@@ -139,10 +148,10 @@
         by_likelihood = sorted(
             self._candidates(), key=lambda s: (s.is_ejected, -s.answered_at)
         )
-        for distance in range(PROBED_TARGETS):
-            near = [s for s in by_likelihood if self._distance(s) == distance]
+        for distance in Distance:
+            there = [s for s in by_likelihood if self._distance(s) is distance]
             pools = {s.entry.pool for s in chosen}
-            chosen += [*(s for s in near if s.entry.pool not in pools), *near][:1]
+            chosen += [*(s for s in there if s.entry.pool not in pools), *there][:1]
         chosen += [s for s in by_likelihood if s not in chosen]
         return chosen[:PROBED_TARGETS]
 
@@ -155,8 +164,10 @@
         states = self.registry.states.values()
         return [state for state in states if not state.entry.is_draining]
 
-    def _distance(self, state: TargetState) -> int:
+    def _distance(self, state: TargetState) -> Distance:
         domain = state.entry.failure_domain
         if domain == self.failure_domain:
-            return 0
-        return 1 if self.registry.region_of.get(domain) == self.region else 2
+            return Distance.OWN_DOMAIN
+        if self.registry.region_of.get(domain) == self.region:
+            return Distance.OWN_REGION
+        return Distance.OTHER_REGION
--- a/tests/platform/fleet_support.py
+++ b/tests/platform/fleet_support.py
@@ -59,17 +59,23 @@
     def __init__(self, link: "TargetLink", stream: TcpStream):
         self.link = link
         self.stream = stream
+        self.held = b""
 
     def __getattr__(self, name):
         return getattr(self.stream, name)
 
     async def send_all(self, data: bytes):
-        """Send bytes; while the link hangs, they stay in the kernel."""
-        await self.link.until_bytes_pass()
-        await self.stream.send_all(data)
+        """Send bytes; they are held while the link carries nothing."""
+        if self.link.carries_nothing:
+            self.held += data
+        else:
+            await self.stream.send_all(data)
 
     async def receive_some(self, max_bytes: int) -> bytes:
-        """Return received bytes once the link lets them pass."""
+        """Return received bytes once the link carries them."""
+        await self.link.until_bytes_pass()
+        held, self.held = self.held, b""
+        await self.stream.send_all(held)
         data = await self.stream.receive_some(max_bytes)
         await self.link.until_bytes_pass()
         return data
@@ -104,9 +110,14 @@
         connection.stream = LinkedStream(self, connection.stream)
         return connection
 
+    @property
+    def carries_nothing(self) -> bool:
+        """Whether open connections are silent."""
+        return self.form == "hang"
+
     async def until_bytes_pass(self):
         """Wait while open connections carry nothing."""
-        while self.form == "hang":
+        while self.carries_nothing:
             await self.changed.wait()
 
     def cut(self, form: str):
