--- a/packages/gateway/plantainshed_gateway/relay_choice.py
+++ b/packages/gateway/plantainshed_gateway/relay_choice.py
@@ -76,7 +76,7 @@
         if not candidates:
             return None
         self.random.shuffle(candidates)
-        name, member = min(candidates, key=lambda candidate: self._load(*candidate))
+        name, member = min(candidates, key=lambda candidate: self._rank(*candidate))
         return RelayVm(name, member.ip, member.failure_domain)
 
     def avoid(self, vm: str):
@@ -89,12 +89,17 @@
         beat = member.heartbeat
         return (
             member.is_alive
-            and beat.state is VmState.READY
+            and beat.state is not VmState.STARTING
             and not beat.is_cut_off
             and (not home_regions or beat.region in home_regions)
             and self.avoided_until.get(name, 0.0) <= trio.current_time()
         )
 
+    def _rank(self, name: str, member: Member) -> tuple[bool, float]:
+        # A VM that leaves still accepts requests for a while.
+        is_leaving = member.heartbeat.state is VmState.LEAVING
+        return is_leaving, self._load(name, member)
+
     def _load(self, name: str, member: Member) -> float:
         load = (self.in_flight[name] + 1) / max(member.heartbeat.weight, 0.001)
         is_far = member.heartbeat.region != self.members.own.region
