Notice the end of a cut that a request found before the prober did

Cause: end_check replaced the event that the prober waits for even if it was not set, so that after a check by a request the prober waited for an event that nobody sets any more. A cut that a request found then never ended for this VM: it went on sending its requests through other VMs until it was restarted, and look-ups left it out.

An event is now only replaced if it is set, and a check that finds a cut wakes the prober. test_end_of_a_cut_that_a_request_found_is_noticed failed before (still cut off 1 s after the end, asked every 0.25 s), passes now; the other 15 tests of target_reach pass before and after.

--- a/packages/gateway/plantainshed_gateway/target_reach.py
+++ b/packages/gateway/plantainshed_gateway/target_reach.py
@@ -109,6 +109,10 @@
     def note_connected(self):
         """Record that a connection to a target was opened."""
         self.connected_at = self.heard_at = trio.current_time()
+        self._clear_suspicion()
+
+    def _clear_suspicion(self):
+        # Tasks wait for an event that is not set, so it must not be replaced.
         if self.suspected.is_set():
             self.suspected = trio.Event()
 
@@ -125,7 +129,11 @@
     def end_check(self, is_cut_off: bool):
         """Record the result of a check."""
         self.checked_at = trio.current_time()
-        self.suspected = trio.Event()
+        if is_cut_off:
+            # Wakes the task that looks for the end of the cut.
+            self.suspected.set()
+        else:
+            self._clear_suspicion()
         if is_cut_off and not self.is_cut_off:
             self.cut_off_since = self.checked_at
             if self.checked_at - self.heard_at >= MIN_SILENCE_S:
--- a/tests/gateway/test_target_reach.py
+++ b/tests/gateway/test_target_reach.py
@@ -253,3 +253,15 @@
         links.unreachable.discard("i-3")
         await trio.sleep(5)
         self.assertTrue(links.reach.is_cut_off)
+
+    @with_links
+    async def test_end_of_a_cut_that_a_request_found_is_noticed(self, links):
+        """Guards against a prober that waits for an event that was replaced."""
+        await trio.sleep(1)
+        self.assertFalse(await links.prober.confirm_cut(trio.current_time()))
+        await trio.sleep(0.1)
+        links.cut()
+        self.assertTrue(await links.prober.confirm_cut(trio.current_time()))
+        links.cut(0)
+        await trio.sleep(1)
+        self.assertFalse(links.reach.is_cut_off)
