Log and count what targets with a limit ask for and get

Nothing told a gateway that does not read Server-Limit from one that reads it and applies it alone. Each change of a target's limit is now logged, and requests sent to targets with a limit are counted.

--- a/packages/gateway/plantainshed_gateway/forwarding.py
+++ b/packages/gateway/plantainshed_gateway/forwarding.py
@@ -16,6 +16,7 @@
 from .ports import TargetAnswer, TargetRequestInfo, Wire
 from .reasons import Reason
 from .registry import TargetState
+from .target_limits import TargetLimits
 
 # Answers up to this size are buffered completely before the caller gets the first
 # byte, so that the request can still be retried if the connection breaks.
@@ -46,9 +47,16 @@
 class Forwarder:
     """Sends requests to targets, one attempt at a time."""
 
-    def __init__(self, wire: Wire, connections: TargetConnections, metrics: Metrics):
+    def __init__(
+        self,
+        wire: Wire,
+        connections: TargetConnections,
+        limits: TargetLimits,
+        metrics: Metrics,
+    ):
         self.wire = wire
         self.connections = connections
+        self.limits = limits
         self.metrics = metrics
 
     @contextlib.asynccontextmanager
@@ -151,6 +159,7 @@
             raise AttemptFailed(
                 Reason.OTHER_INSTANCE, "another instance uses this address", False
             )
+        self.limits.note_answer(state, metadata.limit_per_s)
         if metadata.did_not_run:
             await _drain(connection)
             self.connections.release(state, connection, head)
--- a/packages/gateway/plantainshed_gateway/gateway.py
+++ b/packages/gateway/plantainshed_gateway/gateway.py
@@ -40,6 +40,7 @@
 from .speakers import Speakers
 from .start_order import StartOrder
 from .state_applier import StateApplier
+from .target_limits import TargetLimits
 from .target_reach import TargetReach
 from .vm_list import VmListReader
 
@@ -125,8 +126,12 @@
             self.connections,
             self.round_trips,
         )
+        self.target_limits = TargetLimits(context.log)
         self.forwarder = Forwarder(
-            platform_adapter.wire, self.connections, context.metrics
+            platform_adapter.wire,
+            self.connections,
+            self.target_limits,
+            context.metrics,
         )
         self.distance_prober = DistanceProber(
             self.registry, self.connections, self.round_trips, context.log
@@ -327,6 +332,7 @@
             if replica.is_initialized:
                 metrics.copy_age.set(labels, trio.current_time() - replica.confirmed_at)
         metrics.targets_unreachable.set({}, int(self.reach.is_cut_off))
+        metrics.limited_targets.set({}, self.registry.limited_count())
         self.fleet_view.measure()
 
     async def _catch_up_after(self, paused_s: float):
--- a/packages/gateway/plantainshed_gateway/metrics.py
+++ b/packages/gateway/plantainshed_gateway/metrics.py
@@ -50,6 +50,12 @@
         self.targets_unreachable = self._gauge(
             "targets_unreachable", "1 if this VM reaches no target, otherwise 0."
         )
+        self.limited_targets = self._gauge(
+            "limited_targets", "Targets that name a limit of requests per second."
+        )
+        self.sent_to_limited = self._counter(
+            "sent_to_limited", "Requests sent to targets that name a limit, by target."
+        )
         self.state = self._gauge("state", "State of this VM.")
 
     def _counter(self, name: str, doc: str) -> Values:
--- a/packages/gateway/plantainshed_gateway/ports.py
+++ b/packages/gateway/plantainshed_gateway/ports.py
@@ -147,6 +147,9 @@
         Whether the body is encoded, so that it differs from the target's own bytes.
     load : TargetLoad or None
     cold_for_s : float or None
+    limit_per_s : float or None
+        Requests per second that the target takes from all VMs together; None if it
+        names no limit.
     """
 
     request_id: str | None
@@ -156,6 +159,7 @@
     is_encoded: bool
     load: TargetLoad | None
     cold_for_s: float | None
+    limit_per_s: float | None = None
 
 
 @define
--- a/packages/gateway/plantainshed_gateway/registry.py
+++ b/packages/gateway/plantainshed_gateway/registry.py
@@ -60,6 +60,9 @@
         Requests from this VM that are in flight to the target.
     load, load_at, in_flight_at_load
         The target's last load report, when it arrived, and `in_flight` at that time.
+    limit_per_s : float or None
+        Requests per second that the target takes from all VMs together; None while it
+        names no limit.
     answered_at : float
         When the target last answered a request of this VM.
     failures, ejections : int
@@ -77,6 +80,7 @@
     load: TargetLoad | None = None
     load_at: float = float("-inf")
     in_flight_at_load: int = 0
+    limit_per_s: float | None = None
     answered_at: float = float("-inf")
     failures: int = 0
     ejections: int = 0
@@ -292,6 +296,10 @@
             state.failures = state.ejections = 0
             state.ejected_until = 0.0
 
+    def limited_count(self) -> int:
+        """Return the number of targets that name a limit."""
+        return sum(state.limit_per_s is not None for state in self.states.values())
+
     def drop_expired(self):
         """Drop targets whose entries were not written again after an outage."""
         if trio.current_time() < self._next_grace_end:
--- a/packages/gateway/plantainshed_gateway/serving.py
+++ b/packages/gateway/plantainshed_gateway/serving.py
@@ -321,6 +321,8 @@
         # before sending, so that it also holds if the attempt is cancelled.
         call.may_have_run = True
         state.in_flight += 1
+        if state.limit_per_s is not None:
+            self.metrics.sent_to_limited.inc({"target": state.entry.instance})
         try:
             async with self.forwarder.forward(call, state) as answer:
                 took_s = trio.current_time() - began_at
--- a/tests/platform/target_standin.py
+++ b/tests/platform/target_standin.py
@@ -43,6 +43,10 @@
         (no length, ends when the connection closes), ``unframed reset`` (the same,
         but reset halfway), ``cut`` (the body ends early). An empty string means no
         fault.
+    extra_headers : dict of str to str
+        Headers of all answers to requests that are meant for this target.
+    arrivals : list of float
+        When requests that are meant for this target arrived.
     uses_per_connection : int
         Number of requests after which it announces that it closes the connection; 0
         for no limit.
@@ -56,6 +60,8 @@
     shed: int = 0
     response_faults: list[str] = field(factory=list)
     body: bytes = b"the target's bytes"
+    extra_headers: dict[str, str] = field(factory=dict)
+    arrivals: list[float] = field(factory=list)
     uses_per_connection: int = 0
     runs: list[Run] = field(factory=list)
     running: int = 0
@@ -91,6 +97,7 @@
         if headers.get("expect-instance") not in (None, self.instance):
             await self._reply(stream, connection, 421, headers, b"")
             return True
+        self.arrivals.append(trio.current_time())
         if self.running >= self.slots:
             self.shed += 1
             await trio.sleep(self.queue_time_s)
@@ -156,6 +163,8 @@
         sent = [("Content-Length", str(len(body))), ("Instance-Id", self.instance)]
         if "request-id" in headers:
             sent.append(("Request-Id", headers["request-id"]))
+        if status != 421:
+            sent += self.extra_headers.items()
         response = h11.Response(status_code=status, headers=[*sent, *extra_headers])
         data = connection.send(response)
         data += connection.send(h11.Data(data=body)) or b""
