--- a/packages/gateway/plantainshed_gateway/forwarding.py
+++ b/packages/gateway/plantainshed_gateway/forwarding.py
@@ -12,6 +12,7 @@
 from .call import Call
 from .connections import TargetConnections
 from .errors import AttemptFailed
+from .logs import DecisionLog
 from .metrics import Metrics
 from .ports import TargetAnswer, TargetRequestInfo, Wire
 from .reasons import Reason
@@ -53,11 +54,13 @@
         connections: TargetConnections,
         limits: TargetLimits,
         metrics: Metrics,
+        log: DecisionLog,
     ):
         self.wire = wire
         self.connections = connections
         self.limits = limits
         self.metrics = metrics
+        self.log = log
 
     @contextlib.asynccontextmanager
     async def forward(self, call: Call, state: TargetState):
@@ -165,6 +168,8 @@
                 Reason.OTHER_INSTANCE, "another instance uses this address", False
             )
         self.limits.note_answer(state, metadata.limit_per_s, sent_at)
+        if metadata.retry_after_s is not None:
+            self._note_retry_after(state, metadata.retry_after_s)
         if metadata.did_not_run:
             await _drain(connection)
             self.connections.release(state, connection, head)
@@ -185,6 +190,14 @@
             )
         return await buffer_body(head, connection)
 
+    def _note_retry_after(self, state: TargetState, seconds: float):
+        self.metrics.retry_after.inc({"pool": state.entry.pool})
+        self.log.event(
+            "target asked for no requests",
+            target=state.entry.instance,
+            seconds=seconds,
+        )
+
 
 def _is_authentic(metadata: TargetAnswer) -> bool:
     return (
--- a/packages/gateway/plantainshed_gateway/gateway.py
+++ b/packages/gateway/plantainshed_gateway/gateway.py
@@ -137,6 +137,7 @@
             self.connections,
             self.target_limits,
             context.metrics,
+            context.log,
         )
         self.distance_prober = DistanceProber(
             self.registry, self.connections, self.round_trips, context.log
--- a/packages/gateway/plantainshed_gateway/metrics.py
+++ b/packages/gateway/plantainshed_gateway/metrics.py
@@ -56,6 +56,9 @@
         self.sent_to_limited = self._counter(
             "sent_to_limited", "Requests sent to targets that name a limit, by target."
         )
+        self.retry_after = self._counter(
+            "target_retry_after", "Answers with which targets asked for no requests."
+        )
         self.state = self._gauge("state", "State of this VM.")
 
     def _counter(self, name: str, doc: str) -> Values:
--- a/packages/gateway/plantainshed_gateway/ports.py
+++ b/packages/gateway/plantainshed_gateway/ports.py
@@ -147,6 +147,9 @@
         Whether the body is encoded, so that it differs from the target's own bytes.
     load : TargetLoad or None
     cold_for_s : float or None
+    retry_after_s : float or None
+        How long the target wants no requests from this VM after it turned one away;
+        None if it does not say.
     limit_per_s : float or None
         Requests per second that the target takes from all VMs together; None if it
         names no limit.
@@ -159,6 +162,7 @@
     is_encoded: bool
     load: TargetLoad | None
     cold_for_s: float | None
+    retry_after_s: float | None = None
     limit_per_s: float | None = None
 
 
--- a/tests/platform/target_standin.py
+++ b/tests/platform/target_standin.py
@@ -43,6 +43,8 @@
         (no length, ends when the connection closes), ``unframed reset`` (the same,
         but reset halfway), ``cut`` (the body ends early). An empty string means no
         fault.
+    turns_away : bool
+        Whether it runs no request and answers 503.
     extra_headers : dict of str to str
         Headers of all answers to requests that are meant for this target.
     arrivals : list of float
@@ -60,6 +62,7 @@
     shed: int = 0
     response_faults: list[str] = field(factory=list)
     body: bytes = b"the target's bytes"
+    turns_away: bool = False
     extra_headers: dict[str, str] = field(factory=dict)
     arrivals: list[float] = field(factory=list)
     uses_per_connection: int = 0
@@ -98,7 +101,7 @@
             await self._reply(stream, connection, 421, headers, b"")
             return True
         self.arrivals.append(trio.current_time())
-        if self.running >= self.slots:
+        if self.turns_away or self.running >= self.slots:
             self.shed += 1
             await trio.sleep(self.queue_time_s)
             extra_headers = [("Not-Executed", "1")]
