--- a/tests/platform/target_standin.py
+++ b/tests/platform/target_standin.py
@@ -20,6 +20,14 @@
     path: str
 
 
+@define
+class Arrival:
+    """A request that has arrived, and when."""
+
+    at: float
+    request_id: str
+
+
 @define
 class TargetStandin:
     """Runs requests, sheds those beyond its slots, and injects faults into answers.
@@ -47,8 +55,8 @@
         Whether it runs no request and answers 503.
     extra_headers : dict of str to str
         Headers of all answers to requests that are meant for this target.
-    arrivals : list of float
-        When requests that are meant for this target arrived.
+    arrivals : list of Arrival
+        Requests that are meant for this target.
     uses_per_connection : int
         Number of requests after which it announces that it closes the connection; 0
         for no limit.
@@ -64,7 +72,7 @@
     body: bytes = b"the target's bytes"
     turns_away: bool = False
     extra_headers: dict[str, str] = field(factory=dict)
-    arrivals: list[float] = field(factory=list)
+    arrivals: list[Arrival] = field(factory=list)
     uses_per_connection: int = 0
     runs: list[Run] = field(factory=list)
     running: int = 0
@@ -100,7 +108,8 @@
         if headers.get("expect-instance") not in (None, self.instance):
             await self._reply(stream, connection, 421, headers, b"")
             return True
-        self.arrivals.append(trio.current_time())
+        arrival = Arrival(trio.current_time(), headers.get("request-id", ""))
+        self.arrivals.append(arrival)
         if self.turns_away or self.running >= self.slots:
             self.shed += 1
             await trio.sleep(self.queue_time_s)
--- a/tests/platform/test_target_limits.py
+++ b/tests/platform/test_target_limits.py
@@ -8,7 +8,7 @@
 
 from tests.platform.fleet_support import Fleet, FleetVm, running_fleet
 from tests.platform.platform_support import HOST, KEY, configuration, send
-from tests.platform.target_standin import TargetStandin
+from tests.platform.target_standin import Arrival, TargetStandin
 from tests.support import on_real_clock
 
 # From this time on after a target named its limit, it must be kept.
@@ -30,9 +30,9 @@
     return 1.5 * limit_per_s * WINDOW_S + 5
 
 
-def busiest_window(arrivals: list[float], since: float) -> int:
+def busiest_window(arrivals: list[Arrival], since: float) -> int:
     """Return the most arrivals within `WINDOW_S` after a moment."""
-    times = [at for at in arrivals if at >= since]
+    times = [one.at for one in arrivals if one.at >= since]
     return max(
         (sum(at <= other < at + WINDOW_S for other in times) for at in times), default=0
     )
@@ -112,7 +112,7 @@
             most = busiest_window(targets[0].arrivals, named_at + 2 * TOLD_S)
             self.assertLessEqual(most, allowed(LIMIT_PER_S))
             # The target still gets most of what it takes.
-            arrived = sum(at > named_at + STABLE_S for at in targets[0].arrivals)
+            arrived = sum(one.at > named_at + STABLE_S for one in targets[0].arrivals)
             self.assertGreater(arrived, 0.6 * LIMIT_PER_S * WINDOW_S)
             self.assertEqual(set(answers.statuses), {200})
 
@@ -120,7 +120,7 @@
             await load(fleet, 3.0)
             ended_at = trio.current_time()
             await load(fleet, 2.0)
-            after = [sum(at > ended_at for at in t.arrivals) for t in targets]
+            after = [sum(one.at > ended_at for one in t.arrivals) for t in targets]
             self.assertGreater(after[0], 0.6 * sum(after) / len(after))
 
     @on_real_clock
