Send no more requests to a target that says that it is leaving

A target about to stop names that in its answers, also before the store does or while the store is down. The gateway did not read it and sent on until the store's entry changed: 10 of 20 requests of a VM went to such a target of two.

The target is now left out at the first such answer, of whatever status, until it restarts. Targets that are still known to leave are remembered, as an entry may be lost and written again before the target stops.

--- a/packages/gateway/plantainshed_gateway/forwarding.py
+++ b/packages/gateway/plantainshed_gateway/forwarding.py
@@ -59,6 +59,7 @@
         self.wire = wire
         self.connections = connections
         self.limits = limits
+        self.registry = limits.registry
         self.metrics = metrics
         self.log = log
 
@@ -174,6 +175,9 @@
                 Reason.OTHER_INSTANCE, "another instance uses this address", False
             )
         self.limits.note_answer(state, metadata.limit_per_s, sent_at)
+        if metadata.is_leaving and not state.is_leaving:
+            self.registry.note_leaving(state)
+            self.log.event("target is leaving", target=state.entry.instance)
         if metadata.retry_after_s is not None:
             self._note_retry_after(state, metadata.retry_after_s)
         if metadata.did_not_run:
--- a/packages/gateway/plantainshed_gateway/ports.py
+++ b/packages/gateway/plantainshed_gateway/ports.py
@@ -150,6 +150,8 @@
     retry_after_s : float or None
         How long the target wants no requests from this VM after it turned one away;
         None if it does not say.
+    is_leaving : bool
+        Whether the target says that it is about to stop.
     limit_per_s : float or None
         Requests per second that the target takes from all VMs together; None if it
         names no limit.
@@ -162,6 +164,7 @@
     is_encoded: bool
     load: TargetLoad | None
     cold_for_s: float | None
+    is_leaving: bool = False
     retry_after_s: float | None = None
     limit_per_s: float | None = None
 
--- a/packages/gateway/plantainshed_gateway/registry.py
+++ b/packages/gateway/plantainshed_gateway/registry.py
@@ -33,6 +33,8 @@
 # VM before an unanswered request counts as failed. Callers may set far shorter
 # deadlines, and the first run for an object takes up to a quarter of the timeout.
 MIN_SILENCE_FRACTION = 0.5
+# Number of targets that are remembered as leaving: more than leave in a minute.
+MAX_LEAVING_KEPT = 1000
 # Maximum age of a target's load report.
 LOAD_MAX_AGE_S = 1.0
 # Time in which a new target's share of objects grows to its full size. The ramp
@@ -74,6 +76,8 @@
     retry_at : float
         Until when it wants no requests of this VM; minus infinity once a request has
         run since.
+    is_leaving : bool
+        Whether an answer of the target said that it is about to stop.
     expired_at : float or None
         When the entry was found to have expired; None while it is present.
     """
@@ -92,6 +96,7 @@
     ejections: int = 0
     ejected_until: float = 0.0
     retry_at: float = float("-inf")
+    is_leaving: bool = False
     expired_at: float | None = None
 
     @property
@@ -99,6 +104,11 @@
         """Whether the target is still warming up."""
         return self.cold_until > trio.current_time()
 
+    @property
+    def is_draining(self) -> bool:
+        """Whether the target is about to stop and must get no new requests."""
+        return self.is_leaving or self.entry.is_draining
+
     @property
     def is_restricted(self) -> bool:
         """Whether only some requests may go to it: it is cold or names a limit."""
@@ -239,6 +249,9 @@
         self.generation = 0
         self._by_pool: dict[str, list[TargetState]] = {}
         self._is_first_update = True
+        # Entries of targets that said that they are about to stop. An entry may be lost
+        # and written again before the target stops.
+        self._leaving: dict[str, TargetEntry] = {}
         # When the shares of objects of all targets have reached their full size.
         self.ramps_until = float("-inf")
         self._next_grace_end = inf
@@ -271,7 +284,7 @@
         vanished = [
             state
             for instance, state in self.states.items()
-            if instance not in named and not state.entry.is_draining
+            if instance not in named and not state.is_draining
         ]
         for state in vanished:
             if (
@@ -305,6 +318,8 @@
 
     def _new_state(self, entry: TargetEntry) -> TargetState:
         state = TargetState(entry)
+        leaving = self._leaving.get(entry.instance)
+        state.is_leaving = leaving is not None and not _is_restart(leaving, entry)
         if not self._is_first_update:
             # The target registered while this VM was running, so it is new.
             self._begin_ramp(state)
@@ -315,6 +330,14 @@
         state.ramp_from = trio.current_time()
         self.ramps_until = state.ramp_from + RAMP_S
 
+    def note_leaving(self, state: TargetState):
+        """Send no more requests to a target that says that it is about to stop."""
+        state.is_leaving = True
+        self._leaving[state.entry.instance] = state.entry
+        if len(self._leaving) > MAX_LEAVING_KEPT:
+            del self._leaving[next(iter(self._leaving))]
+        self._rebuild_pools()
+
     def forget_failures(self):
         """End all ejections; used when the failures were not the targets' own."""
         for state in self.states.values():
@@ -364,7 +387,7 @@
         self._next_grace_end = min(grace_ends, default=inf)
         for state in self.states.values():
             entry = state.entry
-            if entry.is_draining or entry.failure_domain in self.evacuated:
+            if state.is_draining or entry.failure_domain in self.evacuated:
                 continue
             self._by_pool.setdefault(entry.pool, []).append(state)
 
--- a/packages/gateway/plantainshed_gateway/target_reach.py
+++ b/packages/gateway/plantainshed_gateway/target_reach.py
@@ -170,7 +170,7 @@
 
     def _candidates(self) -> list[TargetState]:
         states = self.registry.states.values()
-        return [state for state in states if not state.entry.is_draining]
+        return [state for state in states if not state.is_draining]
 
     def _distance(self, state: TargetState) -> Distance:
         domain = state.entry.failure_domain
