End answers without end, and let other tasks run beside them

A target in trouble may send bytes without end, in a head or a body.

- A sender that is faster than this process reads kept the whole process from all else, since a read that finds data at once is no checkpoint: a deadline of 0.5 s ended an exchange after 8.8 s, when the sender stopped.
Reads now let other tasks run after a full buffer or eight reads in a row.
- 1xx responses without end lasted until the caller's deadline (504 beside a sound target).
At most 16 are skipped now.
- The body of an answer that says that the request did not run was read to its end, by the gateway (504 instead of another target's answer) and by the entry daemon (until the deadline).
Now 16 KB or 0.1 s are read, and whatever follows does not make the outcome unknown.
- Single requests (health checks, copies, the store) collected any body in memory within their time.
They now have a maximum size.

Ruled out: heads, chunk headers and trailers, which the parser limits.

--- a/packages/entry/plantainshed_entry/http_probe.py
+++ b/packages/entry/plantainshed_entry/http_probe.py
@@ -7,6 +7,9 @@
 from .relay import DRAINING_HEADER, reported_load
 from .targets import ProbeResult, TargetState
 
+# Maximum size of a health check's response.
+MAX_PROBE_BYTES = 64 * 1024
+
 
 async def probe_over_http(state: TargetState) -> ProbeResult:
     """Request a target's health endpoint; a failed request means unhealthy."""
@@ -16,6 +19,7 @@
             "GET",
             state.pool.probe_path,
             timeout_s=PROBE_TIMEOUT_S,
+            max_bytes=MAX_PROBE_BYTES,
         )
     except HttpError:
         return ProbeResult(healthy=False, draining=False, load=0.0)
--- a/packages/entry/plantainshed_entry/relay.py
+++ b/packages/entry/plantainshed_entry/relay.py
@@ -52,6 +52,9 @@
 LOAD_PATTERN = re.compile(r"(?=.?[0-9])[0-9]{0,20}(\.[0-9]{0,20})?")
 DRAINING_HEADER = b"plantainshed-draining"
 IDLE_PER_SLOT = 2
+# Limits of what is read of a response only so that its connection can be reused.
+MAX_DISCARDED_BYTES = 16 * 1024
+DISCARD_TIMEOUT_S = 0.1
 
 
 class HttpRelay:
@@ -164,8 +167,7 @@
     async def _relay_response(self, call, state, connection, head):
         _update_from_response(state, head)
         if head.status == 503 and head.header(NOT_RUN_HEADER):
-            async for _ in connection.response_body():
-                pass
+            await _discard_body(connection)
             raise AttemptFailed(
                 f"target {state.target.name} has no room",
                 Outcome.NOT_RUN,
@@ -198,6 +200,20 @@
             await relay.aclose()
 
 
+async def _discard_body(connection: ClientConnection):
+    """Discard the body of a response that says that the request did not run.
+
+    Whatever follows does not change that. If it does not end soon, the connection is
+    not reusable.
+    """
+    size = 0
+    with trio.move_on_after(DISCARD_TIMEOUT_S), contextlib.suppress(ConnectionBroken):
+        async for chunk in connection.response_body():
+            size += len(chunk)
+            if size > MAX_DISCARDED_BYTES:
+                return
+
+
 def _headers_for_target(call: Call, request: RequestHead) -> Headers:
     headers = [
         (name, value)
--- a/packages/gateway/plantainshed_gateway/forwarding.py
+++ b/packages/gateway/plantainshed_gateway/forwarding.py
@@ -22,6 +22,9 @@
 # Answers up to this size are buffered completely before the caller gets the first
 # byte, so that the request can still be retried if the connection breaks.
 MAX_BUFFERED_BYTES = 256 * 1024
+# Limits of what is read of an answer only so that its connection can be reused.
+MAX_DISCARDED_BYTES = 16 * 1024
+DISCARD_TIMEOUT_S = 0.1
 # Maximum number of answers to other requests that are skipped on one connection.
 MAX_SKIPPED_ANSWERS = 3
 METHODS_WITHOUT_BODY = frozenset({"GET", "HEAD", "OPTIONS", "DELETE", "TRACE"})
@@ -170,7 +173,6 @@
         sent_at: float,
     ) -> Answer:
         if metadata.is_other_instance:
-            await _drain(connection)
             raise AttemptFailed(
                 Reason.OTHER_INSTANCE, "another instance uses this address", False
             )
@@ -181,7 +183,7 @@
         if metadata.retry_after_s is not None:
             self._note_retry_after(state, metadata.retry_after_s)
         if metadata.did_not_run:
-            await _drain(connection)
+            await _discard(connection)
             self.connections.release(state, connection, head)
             raise AttemptFailed(
                 Reason.TARGET_BUSY,
@@ -236,10 +238,20 @@
     size = 0
     async for chunk in connection.response_body():
         size += len(chunk)
-        if size > MAX_BUFFERED_BYTES:
+        if size > MAX_DISCARDED_BYTES:
             raise ConnectionBroken(f"{connection.address}: answer is too long to skip")
 
 
+async def _discard(connection: ClientConnection):
+    """Discard the rest of a response that says that the request did not run.
+
+    Whatever follows does not change that. If it does not end soon, the connection is
+    not reusable.
+    """
+    with trio.move_on_after(DISCARD_TIMEOUT_S), contextlib.suppress(ConnectionBroken):
+        await _drain(connection)
+
+
 def _connection_failure(connection: ClientConnection, problem: str) -> AttemptFailed:
     connection.close()
     return AttemptFailed(Reason.CONNECTION_BROKEN, problem, connection.send_started)
--- a/packages/http/plantainshed_http/client.py
+++ b/packages/http/plantainshed_http/client.py
@@ -17,6 +17,10 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
+# Maximum number of 1xx responses before a response.
+MAX_INTERIM_RESPONSES = 16
+# Maximum size of a body that is collected in memory, if the caller sets no other.
+MAX_BODY_BYTES = 64 * 1024 * 1024
 
 
 class ClientConnection:
@@ -92,7 +96,7 @@
 
     async def response_head(self) -> ResponseHead:
         """Return the head of the final response, after any 1xx responses."""
-        while True:
+        for _ in range(1 + MAX_INTERIM_RESPONSES):
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 headers = [(bytes(k), bytes(v)) for k, v in event.headers]
@@ -101,6 +105,7 @@
                 raise ConnectionBroken(
                     f"{self.address} closed the connection before it answered"
                 )
+        raise ConnectionBroken(f"{self.address} sends interim responses only")
 
     async def response_body(self) -> AsyncIterator[bytes]:
         """Yield the body of the response in chunks."""
@@ -138,14 +143,30 @@
         """Whether received bytes have not been parsed yet."""
         return bool(self.h11.trailing_data[0])
 
-    async def read_response(self) -> tuple[ResponseHead, bytes]:
-        """Return the head and the whole body of the response."""
+    async def read_response(
+        self, max_bytes: int = MAX_BODY_BYTES
+    ) -> tuple[ResponseHead, bytes]:
+        """Return the head and the whole body of the response.
+
+        Raises `ConnectionBroken` if the body has more than `max_bytes` bytes.
+        """
         head = await self.response_head()
-        parts = [part async for part in self.response_body()]
-        return head, b"".join(parts)
+        body = bytearray()
+        async for part in self.response_body():
+            body += part
+            if len(body) > max_bytes:
+                raise ConnectionBroken(
+                    f"{self.address}: the body has more than {max_bytes} bytes"
+                )
+        return head, bytes(body)
 
     async def request(
-        self, method: str, target: str, headers: Headers = (), body: bytes = b""
+        self,
+        method: str,
+        target: str,
+        headers: Headers = (),
+        body: bytes = b"",
+        max_bytes: int = MAX_BODY_BYTES,
     ) -> tuple[ResponseHead, bytes]:
         """Send a whole request and return the whole response."""
         all_headers = [(b"host", self.address.encode()), *headers]
@@ -155,7 +176,7 @@
         if body:
             await self.send_body(body)
         await self.end_request()
-        return await self.read_response()
+        return await self.read_response(max_bytes)
 
     @property
     def reusable(self) -> bool:
@@ -258,18 +279,22 @@
     headers: Headers = (),
     body: bytes = b"",
     timeout_s: float = 10.0,
+    max_bytes: int = MAX_BODY_BYTES,
 ) -> tuple[ResponseHead, bytes]:
     """Send one request on a new connection and return the response.
 
     Raises
     ------
     HttpError
-        If the request fails or takes longer than `timeout_s`.
+        If the request fails, takes longer than `timeout_s`, or the body of the response
+        has more than `max_bytes` bytes.
     """
     try:
         with trio.fail_after(timeout_s):
             async with connected(address, timeout_s) as connection:
-                return await connection.request(method, target, headers, body)
+                return await connection.request(
+                    method, target, headers, body, max_bytes
+                )
     except trio.TooSlowError as error:
         raise ConnectionBroken(
             f"{address}: no answer within {timeout_s:g} s"
--- a/packages/http/plantainshed_http/tcp.py
+++ b/packages/http/plantainshed_http/tcp.py
@@ -13,6 +13,8 @@
 
 import trio
 
+# Number of reads in a row that find data at once, after which other tasks get a turn.
+MAX_READS_IN_A_ROW = 8
 # Errors of a call on a socket that this process has closed.
 _CLOSED_ERRNOS = frozenset({errno.EBADF, errno.ENOTSOCK})
 
@@ -31,6 +33,7 @@
         with contextlib.suppress(OSError):
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.socket = sock
+        self.reads_in_a_row = 0
 
     def setsockopt(self, level: int, option: int, value: int):
         """Set an option of the socket."""
@@ -53,15 +56,23 @@
     async def receive_some(self, max_bytes: int) -> bytes:
         """Return received bytes, or no bytes at the end of the stream.
 
-        This is a checkpoint only if no bytes have arrived yet.
+        This is a checkpoint only if no bytes have arrived yet, or if many have: a peer
+        that sends faster than this process reads must not keep it from all else.
         """
         while True:
             try:
-                return self.socket.recv(max_bytes)
+                data = self.socket.recv(max_bytes)
             except BlockingIOError:
+                self.reads_in_a_row = 0
                 await trio.lowlevel.wait_readable(self.socket)
+                continue
             except OSError as error:
                 raise _stream_error(error) from error
+            self.reads_in_a_row += 1
+            if len(data) == max_bytes or self.reads_in_a_row >= MAX_READS_IN_A_ROW:
+                self.reads_in_a_row = 0
+                await trio.lowlevel.checkpoint()
+            return data
 
     async def send_eof(self):
         """End the sending direction."""
