Keep Retry-After of targets in the entry daemon too

The same fault as in the gateway, found by looking there: a target that turned a request away and named a time got the next request at once, and a health check every 2 s. It now gets neither from this VM until the time is over; slots that other VMs lend are returned meanwhile.

--- a/packages/entry/plantainshed_entry/relay.py
+++ b/packages/entry/plantainshed_entry/relay.py
@@ -49,7 +49,7 @@
 LOAD_HEADER = b"plantainshed-load"
 # `str.isdigit` also accepts digits that `float` rejects, and an unhandled error would
 # end the process. The length limit keeps the value finite.
-LOAD_PATTERN = re.compile(r"(?=.?[0-9])[0-9]{0,20}(\.[0-9]{0,20})?")
+NUMBER_PATTERN = re.compile(r"(?=.?[0-9])[0-9]{0,20}(\.[0-9]{0,20})?")
 DRAINING_HEADER = b"plantainshed-draining"
 IDLE_PER_SLOT = 2
 # Limits of what is read of a response only so that its connection can be reused.
@@ -251,7 +251,18 @@
 def reported_load(head: ResponseHead) -> float | None:
     """Return the load that a target reports, or None without a valid number."""
     text = head.header(LOAD_HEADER)
-    if text is None or not LOAD_PATTERN.fullmatch(text):
+    if text is None or not NUMBER_PATTERN.fullmatch(text):
+        return None
+    return float(text)
+
+
+def retry_after_s(head: ResponseHead) -> float | None:
+    """Return the seconds for which a target that turns a request away wants none.
+
+    In other responses, the header is meant for the caller.
+    """
+    text = head.header(b"retry-after")
+    if head.status != 503 or text is None or not NUMBER_PATTERN.fullmatch(text):
         return None
     return float(text)
 
@@ -259,6 +270,9 @@
 def _update_from_response(state: TargetState, head: ResponseHead):
     if head.header(DRAINING_HEADER):
         state.draining_at = trio.current_time()
+    seconds = retry_after_s(head)
+    if seconds is not None:
+        state.note_retry_after(seconds)
     load = reported_load(head)
     if load is None:
         return
--- a/packages/entry/plantainshed_entry/routing.py
+++ b/packages/entry/plantainshed_entry/routing.py
@@ -183,7 +183,7 @@
             return None
         name = loan.budget.removeprefix(SLOTS_PREFIX)
         state = self.targets.states.get(name)
-        if state is None or name in excluded:
+        if state is None or name in excluded or not state.wants_requests:
             self.lending.count_loans.return_loan(loan)
             return None
         return Slot(state, loan)
--- a/packages/entry/plantainshed_entry/targets.py
+++ b/packages/entry/plantainshed_entry/targets.py
@@ -61,6 +61,8 @@
         When the target may be used again.
     ejections : int
         Number of ejections since the last successful request.
+    retry_at : float
+        Until when the target wants no requests of this VM.
     ramp_started_at : float
         When the warm-up of the target began.
     service_time_s : float
@@ -80,6 +82,7 @@
     probe_at: float = 0.0
     draining_at: float = -REPORT_TTL_S
     refused_until: float = 0.0
+    retry_at: float = float("-inf")
     ramp_started_at: float = field(factory=trio.current_time)
     service_time_s: float = 0.0
     own_in_flight: int = 0
@@ -95,6 +98,15 @@
         """Whether the target recently refused a connection of this VM."""
         return self.refused_until > trio.current_time()
 
+    @property
+    def wants_requests(self) -> bool:
+        """Whether the time for which the target wanted no requests is over."""
+        return self.retry_at <= trio.current_time()
+
+    def note_retry_after(self, seconds: float):
+        """Record that the target wants no requests of this VM for a while."""
+        self.retry_at = max(self.retry_at, trio.current_time() + seconds)
+
     @property
     def is_draining(self) -> bool:
         """Whether the target recently reported that it is draining."""
@@ -276,6 +288,7 @@
             and state.target.name not in self.drained
             and not state.is_draining
             and not state.refuses_connections
+            and state.wants_requests
         ]
         healthy = [s for s in candidates if s.seems_healthy and not s.is_ejected]
         if len(healthy) < len(candidates) * MAX_EJECTED_FRACTION:
