--- a/tests/platform/soak/__main__.py
+++ b/tests/platform/soak/__main__.py
@@ -21,6 +21,7 @@
     STALL_THRESHOLD_S,
     FaultInjector,
     draw_cuts,
+    draw_demands,
     draw_faults,
     draw_registrations,
 )
@@ -112,6 +113,7 @@
         *draw_faults(settings),
         *draw_registrations(settings),
         *draw_cuts(settings),
+        *draw_demands(settings),
     ]
     plan = sorted(faults, key=lambda fault: fault.start_s)
     sequences = draw_signals(settings)
@@ -134,7 +136,9 @@
                     load.cancel_scope.cancel()
                 ended_at = trio.current_time()
                 await _wait_until_scheduled(vms, ended_at)
-                checker = InvariantChecker(world, vms, requests, injector.disturbances)
+                checker = InvariantChecker(
+                    world, vms, requests, injector.disturbances, injector.demands
+                )
                 findings = checker.check(settled_at, ended_at)
                 report = _build_report(
                     settings, plan, requests, findings, injector.stalls_s
--- a/tests/platform/soak/faults.py
+++ b/tests/platform/soak/faults.py
@@ -4,8 +4,9 @@
 import signal
 
 import trio
-from attrs import define, frozen
+from attrs import define, evolve, frozen
 
+from .demands import DEMAND_KINDS, LIMITS_PER_S, RETRY_AFTER_S, TURN_AWAY, Demand
 from .processes import Vm
 from .proxy import black_hole
 from .settings import STABLE_S, SoakSettings
@@ -145,6 +146,19 @@
     return cuts
 
 
+def draw_demands(settings: SoakSettings) -> list[Fault]:
+    """Draw demands of targets, apart from the faults."""
+    rng = random.Random(f"{settings.seed}/demands")
+    demands = []
+    at = rng.uniform(0.5, 2.0)
+    while at < settings.duration_s:
+        lasts_s = STABLE_S + rng.uniform(2.0, 5.0)
+        kind = rng.choice(DEMAND_KINDS)
+        demands.append(Fault(kind, at, lasts_s, rng.getrandbits(16)))
+        at += rng.uniform(1.0, 5.0)
+    return demands
+
+
 class FaultInjector:
     """Injects faults and records the periods that they disturb.
 
@@ -158,6 +172,7 @@
         self.world = world
         self.vms = vms
         self.disturbances: list[Disturbance] = []
+        self.demands: list[Demand] = []
         self.stalls_s: list[float] = []
 
     async def watch_own_stalls(self):
@@ -313,6 +328,55 @@
         if target.draining_since is None:
             await self._take_target_down(target, fault)
 
+    async def target_limits(self, fault: Fault):
+        """Have a target, or one time in four all of them, name a limit."""
+        limit_per_s = round(random.Random(fault.random_bits).uniform(*LIMITS_PER_S), 1)
+        targets = [self._pick_target(fault)]
+        if fault.random_bits % 4 == 0:
+            targets = self.world.targets
+        headers = {"Server-Limit": str(limit_per_s)}
+        await self._demand(fault, targets, headers, limit_per_s)
+
+    async def target_turns_away(self, fault: Fault):
+        """Have a target turn requests away and want none for a while."""
+        headers = {"Retry-After": str(RETRY_AFTER_S)}
+        await self._demand(fault, [self._pick_target(fault)], headers)
+
+    async def target_says_it_leaves(self, fault: Fault):
+        """Have a target say in its answers that it leaves, then restart it."""
+        target = self._pick_target(fault)
+        if target.draining_since is None:
+            await self._demand(fault, [target], {"Server-Leaving": "1"})
+            await self._take_target_down(target, evolve(fault, duration_s=0.5))
+
+    async def _demand(
+        self,
+        fault: Fault,
+        targets: list[Target],
+        headers: dict[str, str],
+        limit_per_s: float = 0.0,
+    ):
+        """Have targets send headers for a while, unless they do so already."""
+        now = trio.current_time()
+        demands = [
+            Demand(fault.kind, target, now, limit_per_s=limit_per_s)
+            for target in targets
+            if not target.extra_headers
+        ]
+        self.demands += demands
+        for demand in demands:
+            demand.target.extra_headers |= headers
+            demand.target.turns_away = fault.kind == TURN_AWAY
+        await trio.sleep(fault.duration_s)
+        for demand in demands:
+            self._end_demand(demand)
+
+    def _end_demand(self, demand: Demand):
+        if demand.ended_at == float("inf"):
+            demand.ended_at = trio.current_time()
+            demand.target.extra_headers.clear()
+            demand.target.turns_away = False
+
     async def _take_target_down(self, target: Target, fault: Fault):
         target.proxy.accepts = False
         target.proxy.reset_all()
@@ -321,6 +385,10 @@
         if entry:
             self.world.store.delete("servers", target.instance)
         await trio.sleep(0.5)
+        # What the target asked for ends with its process.
+        for demand in self.demands:
+            if demand.target is target:
+                self._end_demand(demand)
         target.proxy.clear_faults()
         target.draining_since = None
         self.world.register(
--- a/tests/platform/soak/promises.py
+++ b/tests/platform/soak/promises.py
@@ -5,6 +5,7 @@
 from attrs import define, field
 
 from .callers import SentRequest
+from .demands import Demand, DemandChecker
 from .faults import SCOPE_ALL, Disturbance
 from .processes import Vm
 from .settings import (
@@ -73,6 +74,7 @@
     vms : list of Vm
     requests : list of SentRequest
     disturbances : list of Disturbance
+    demands : list of Demand
     """
 
     def __init__(
@@ -81,12 +83,14 @@
         vms: list[Vm],
         requests: list[SentRequest],
         disturbances: list[Disturbance],
+        demands: list[Demand] = (),
     ):
         self.world = world
         self.vm_by_address = {vm.request_address: vm for vm in vms}
         self.vms = vms
         self.requests = requests
         self.disturbances = disturbances
+        self.demands = demands
         self.findings = Findings()
         self.runs_by_request: dict[str, list[Run]] = defaultdict(list)
         for run in world.runs:
@@ -102,6 +106,7 @@
             self._check_run(run, by_id.get(run.request_id))
         self._check_quotas()
         self._check_cuts()
+        self._check_demands(by_id)
         self._check_recovery(settled_at, ended_at)
         for vm in self.vms:
             self._check_processes(vm)
@@ -291,6 +296,26 @@
         if at_cut[200] < MIN_SERVED_RATIO_AT_CUT * served_elsewhere * sent:
             self.findings.add("RECOVER", line)
 
+    def _check_demands(self, requests: dict[str, SentRequest]):
+        def vm_of(request: SentRequest) -> str | None:
+            vm = self.vm_by_address.get(request.vm_address)
+            return vm.name if vm is not None else None
+
+        checker = DemandChecker(requests, vm_of, self._is_excused_from_demands)
+        for demand in self.demands:
+            for rule, line in checker.check(demand):
+                self.findings.add(rule, line)
+
+    def _is_excused_from_demands(self, vm: str, since: float, until: float) -> bool:
+        # The requests of a VM that is cut off are sent by another one.
+        return self._is_disturbed({vm}, since, until) or any(
+            disturbance.kind == CUT_KIND
+            and disturbance.scope == vm
+            and disturbance.began_at <= until
+            and disturbance.ended_at + STABLE_S >= since
+            for disturbance in self.disturbances
+        )
+
     def _check_recovery(self, settled_at: float, ended_at: float):
         final_requests = [
             request
