Notice that no target is reached although connections are accepted

Something on the way to the targets may accept connections and then reset them or carry nothing.

A check now asks for an answer to a health check on the connection that it opens, and an answer to a request proves that targets are reached only if it is the first on its connection. Health checks are sent only while requests fail or wait, and not to targets that asked for fewer requests.

Both forms are new in tests/platform/test_cut_from_targets.py, where the stated bound holds now; tests/gateway/test_target_reach.py has them on a mock clock.

--- a/packages/gateway/plantainshed_gateway/connections.py
+++ b/packages/gateway/plantainshed_gateway/connections.py
@@ -92,7 +92,6 @@
         except ConnectFailed:
             self.reach.note_failed()
             raise
-        self.reach.note_connected()
         self.round_trips.record(failure_domain, trio.current_time() - began_at)
         return connection
 
--- a/packages/gateway/plantainshed_gateway/forwarding.py
+++ b/packages/gateway/plantainshed_gateway/forwarding.py
@@ -146,7 +146,7 @@
         for _ in range(1 + MAX_SKIPPED_ANSWERS):
             head = await connection.response_head()
             state.note_answer()
-            self.connections.reach.note_answer()
+            self.connections.reach.note_answer(is_first=connection.idle_s == 0)
             metadata = self.wire.read_answer(head)
             if metadata.request_id in (None, call.request.request_id):
                 break
--- a/packages/gateway/plantainshed_gateway/gateway.py
+++ b/packages/gateway/plantainshed_gateway/gateway.py
@@ -15,6 +15,7 @@
 from .fleet_view import FleetView
 from .forwarding import Forwarder
 from .freshness_poller import FreshnessPoller, poll_interval_s
+from .health_checks import HealthChecks
 from .heartbeats import Heartbeat, VmState
 from .loans import Loans
 from .lookup import LookupTable
@@ -92,6 +93,7 @@
             self.reach,
             self.registry,
             self.connections,
+            HealthChecks(self.registry, self.round_trips),
             self._announce_reach,
             context.log,
         )
--- a/packages/gateway/plantainshed_gateway/model.py
+++ b/packages/gateway/plantainshed_gateway/model.py
@@ -28,12 +28,15 @@
         Maximum requests per second to a cold target; 0 for no limit.
     max_connections : int
         Maximum connections that one target accepts from all callers together.
+    health_path : str
+        Path of a target's health check; empty if it has none.
     """
 
     name: str
     warmup_s: float = 0.0
     warmup_per_s: float = 0.0
     max_connections: int = 0
+    health_path: str = ""
 
 
 @frozen
--- a/packages/gateway/plantainshed_gateway/reach_prober.py
+++ b/packages/gateway/plantainshed_gateway/reach_prober.py
@@ -1,6 +1,7 @@
 """Opens connections to targets to find out whether this VM reaches any of them.
 
-Connections are only opened when requests fail or wait, and are kept for requests.
+Connections are only opened when requests fail or wait, and are kept for requests once a
+health check has been answered on them.
 """
 
 from collections.abc import Awaitable, Callable
@@ -10,6 +11,7 @@
 from plantainshed_http.errors import ConnectFailed
 
 from .connections import TargetConnections
+from .health_checks import HealthChecks
 from .logs import DecisionLog
 from .registry import Registry, TargetState
 from .target_reach import TargetReach
@@ -26,6 +28,7 @@
     reach : TargetReach
     registry : Registry
     connections : TargetConnections
+    health_checks : HealthChecks
     on_change : callable
         Awaited when this VM is cut off from the targets or reaches them again.
     log : DecisionLog
@@ -36,12 +39,14 @@
         reach: TargetReach,
         registry: Registry,
         connections: TargetConnections,
+        health_checks: HealthChecks,
         on_change: Callable[[], Awaitable[None]],
         log: DecisionLog,
     ):
         self.reach = reach
         self.registry = registry
         self.connections = connections
+        self.health_checks = health_checks
         self.on_change = on_change
         self.log = log
         self._check_lock = trio.Lock()
@@ -59,22 +64,22 @@
     async def confirm_cut(self, failed_at: float) -> bool:
         """Return whether this VM is cut off, given that a connection failed.
 
-        Opens connections to other targets unless one was opened since.
+        Checks other targets unless one has answered on a new connection since.
         """
         async with self._check_lock:
-            if not self.reach.is_cut_off and self.reach.connected_at < failed_at:
+            if not self.reach.is_cut_off and self.reach.proven_at < failed_at:
                 await self._check()
             return self.reach.is_cut_off
 
     async def _check(self):
         first, *others = self.reach.targets_to_check() or [None]
-        if first is None or await self._connects(first):
+        if first is None or await self._reaches(first):
             self.reach.end_check(is_cut_off=False)
             return
         reached: list[TargetState] = []
         async with trio.open_nursery() as nursery:
             for state in others:
-                nursery.start_soon(self._connect_into, state, reached)
+                nursery.start_soon(self._reach_into, state, reached)
         self.reach.end_check(is_cut_off=not reached)
         if not self.reach.is_cut_off:
             return
@@ -86,29 +91,35 @@
         self.log.event("targets unreachable", tried=tried)
         await self.on_change()
 
-    async def _connect_into(self, state: TargetState, reached: list[TargetState]):
-        if await self._connects(state):
+    async def _reach_into(self, state: TargetState, reached: list[TargetState]):
+        if await self._reaches(state):
             reached.append(state)
 
     async def _check_end_of_cut(self):
         for state in self.reach.targets_to_retry():
-            if not await self._connects(state):
+            if not await self._reaches(state):
                 return
         self.reach.end_check(is_cut_off=False)
         took_s = trio.current_time() - self.reach.cut_off_since
         self.log.event("targets reachable again", after_s=round(took_s, 3))
         await self.on_change()
 
-    async def _connects(self, state: TargetState) -> bool:
+    async def _reaches(self, state: TargetState) -> bool:
+        problem = "the connection is accepted, but a health check is not answered"
         try:
             connection = await self.connections.open(state)
         except ConnectFailed as error:
-            self.log.event(
-                "target not reached",
-                target=state.entry.instance,
-                to=state.entry.failure_domain,
-                problem=str(error),
-            )
-            return False
-        self.connections.keep(state, connection)
-        return True
+            problem = str(error)
+        else:
+            if await self.health_checks.is_answered(connection, state):
+                self.reach.note_answer(is_first=True)
+                self.connections.keep(state, connection)
+                return True
+            connection.close()
+        self.log.event(
+            "target not reached",
+            target=state.entry.instance,
+            to=state.entry.failure_domain,
+            problem=problem,
+        )
+        return False
--- a/packages/gateway/plantainshed_gateway/registry.py
+++ b/packages/gateway/plantainshed_gateway/registry.py
@@ -149,6 +149,10 @@
         """Return whether the target accepts requests of this VM at the current time."""
         return self.retry_at <= now
 
+    def is_unrestricted_at(self, now: float) -> bool:
+        """Return whether the target has not asked for fewer requests."""
+        return self.limit_per_s is None and self.wants_requests_at(now)
+
     @property
     def weight(self) -> float:
         """Weight in the distribution of objects over targets, from 0.1 to 1."""
--- a/packages/gateway/plantainshed_gateway/target_reach.py
+++ b/packages/gateway/plantainshed_gateway/target_reach.py
@@ -49,11 +49,11 @@
         Whether this VM reaches no target.
     cut_off_since : float
         When `is_cut_off` was last set.
-    connected_at : float
-        When a connection to a target was last opened.
+    proven_at : float
+        When an answer last arrived on a new connection. Connections that were open
+        before a cut may live on, and something on the way may accept new ones.
     heard_at : float
-        When a target last answered or accepted a connection, or, if it was later, when
-        requests began to wait.
+        When a target last answered, or, if it was later, when requests began to wait.
     checked_at : float
         When the last check ended.
     waiting : int
@@ -69,7 +69,7 @@
     failure_domain: str
     is_cut_off: bool = False
     cut_off_since: float = float("-inf")
-    connected_at: float = float("-inf")
+    proven_at: float = float("-inf")
     suspected: trio.Event = field(factory=trio.Event)
     random: Random = field(factory=Random)
     heard_at: float = float("-inf")
@@ -102,14 +102,18 @@
                 self.waiting -= 1
                 self.repeatable.discard(scope)
 
-    def note_answer(self):
-        """Record an answer of any target."""
-        self.heard_at = trio.current_time()
+    def note_answer(self, is_first: bool = False):
+        """Record an answer of any target.
 
-    def note_connected(self):
-        """Record that a connection to a target was opened."""
-        self.connected_at = self.heard_at = trio.current_time()
-        self._clear_suspicion()
+        Parameters
+        ----------
+        is_first : bool
+            Whether it is the first answer on its connection.
+        """
+        self.heard_at = trio.current_time()
+        if is_first:
+            self.proven_at = self.heard_at
+            self._clear_suspicion()
 
     def _clear_suspicion(self):
         # Tasks wait for an event that is not set, so it must not be replaced.
@@ -169,8 +173,10 @@
         return self.random.sample(candidates, min(2, len(candidates)))
 
     def _candidates(self) -> list[TargetState]:
-        states = self.registry.states.values()
-        return [state for state in states if not state.is_draining]
+        now = trio.current_time()
+        states = [s for s in self.registry.states.values() if not s.is_draining]
+        # The others cannot be asked for an answer.
+        return [s for s in states if s.is_unrestricted_at(now)] or states
 
     def _distance(self, state: TargetState) -> Distance:
         domain = state.entry.failure_domain
--- a/tests/gateway/test_target_reach.py
+++ b/tests/gateway/test_target_reach.py
@@ -36,10 +36,13 @@
         Instances to which connections fail.
     hangs : bool
         Whether these connections time out rather than being refused.
+    silent : set of str
+        Instances whose connections are accepted, but carry nothing.
     """
 
     def __init__(self, count=18):
         self.unreachable: set[str] = set()
+        self.silent: set[str] = set()
         self.hangs = False
         self.opened = 0
         self.changes = 0
@@ -61,7 +64,12 @@
             make_round_trips(), self.reach, self.connect
         )
         self.prober = ReachProber(
-            self.reach, self.registry, self.connections, self.on_change, self.log
+            self.reach,
+            self.registry,
+            self.connections,
+            self,
+            self.on_change,
+            self.log,
         )
 
     @property
@@ -76,6 +84,11 @@
         await trio.sleep(timeout_s if self.hangs else 0.001)
         raise ConnectFailed(f"{address}: unreachable")
 
+    async def is_answered(self, connection, state) -> bool:
+        """Stand in for health checks."""
+        await trio.sleep(0.5 if state.entry.instance in self.silent else 0.01)
+        return state.entry.instance not in self.silent
+
     async def on_change(self):
         self.changes += 1
 
@@ -150,6 +163,29 @@
         await trio.sleep(0.1)
         self.assertTrue(links.reach.is_cut_off)
 
+    @with_links
+    async def test_connections_that_are_accepted_on_the_way(self, links):
+        """Guards against something on the way that hides that no target answers."""
+        links.silent = {s.entry.instance for s in links.states}
+        with links.reach.waiting_for_answer(False):
+            for _ in range(int(DETECTED_WITHIN_S / 0.25)):
+                await trio.sleep(0.25)
+                await links.connections.open(links.states[0])
+                links.reach.check_silence()
+            self.assertTrue(links.reach.is_cut_off)
+        await trio.sleep(5)
+        self.assertTrue(links.reach.is_cut_off)
+        links.silent.clear()
+        await trio.sleep(1)
+        self.assertFalse(links.reach.is_cut_off)
+
+    @with_links
+    async def test_accepted_connections_that_break(self, links):
+        links.silent = {s.entry.instance for s in links.states}
+        links.reach.note_failed()
+        await trio.sleep(DETECTED_WITHIN_S - SILENCE_S)
+        self.assertTrue(links.reach.is_cut_off)
+
     @with_links
     async def test_ejections_during_a_cut_end_with_it(self, links):
         """Guards against targets that stay ejected although only the links failed."""
--- a/tests/platform/fleet_support.py
+++ b/tests/platform/fleet_support.py
@@ -66,6 +66,8 @@
 
     async def send_all(self, data: bytes):
         """Send bytes; they are held while the link carries nothing."""
+        if self.link.resets:
+            raise trio.BrokenResourceError
         if self.link.carries_nothing:
             self.held += data
         else:
@@ -74,6 +76,8 @@
     async def receive_some(self, max_bytes: int) -> bytes:
         """Return received bytes once the link carries them."""
         await self.link.until_bytes_pass()
+        if self.link.resets:
+            raise trio.BrokenResourceError
         held, self.held = self.held, b""
         await self.stream.send_all(held)
         data = await self.stream.receive_some(max_bytes)
@@ -91,7 +95,9 @@
         How it is cut: ``hang`` (open and new connections carry nothing), ``reset``
         (open connections are reset, new ones refused), ``reset and hang`` (open ones
         are reset, new ones carry nothing), ``refuse`` (open ones live on, new ones are
-        refused); empty while it is up.
+        refused), ``accept and hang`` (new ones are accepted on the way and carry
+        nothing), ``accept and reset`` (they are accepted and reset); empty while it is
+        up.
     """
 
     form: str = ""
@@ -100,10 +106,10 @@
 
     async def connect(self, address: str, timeout_s: float) -> ClientConnection:
         """Open a connection, or raise `ConnectFailed`."""
-        if "hang" in self.form:
+        if "hang" in self.form and not self.accepts:
             await trio.sleep(timeout_s)
             raise ConnectFailed(f"{address}: timed out")
-        if self.form:
+        if self.form and not self.accepts:
             raise ConnectFailed(f"{address}: connection refused")
         connection = await ClientConnection.open(address, timeout_s)
         self.streams.append(connection.stream)
@@ -113,7 +119,17 @@
     @property
     def carries_nothing(self) -> bool:
         """Whether open connections are silent."""
-        return self.form == "hang"
+        return self.form in ("hang", "accept and hang")
+
+    @property
+    def accepts(self) -> bool:
+        """Whether something on the way accepts connections."""
+        return self.form.startswith("accept")
+
+    @property
+    def resets(self) -> bool:
+        """Whether accepted connections are reset."""
+        return self.form == "accept and reset"
 
     async def until_bytes_pass(self):
         """Wait while open connections carry nothing."""
--- a/tests/platform/target_standin.py
+++ b/tests/platform/target_standin.py
@@ -8,6 +8,7 @@
 from attrs import define, field
 
 SOCKET_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError)
+HEALTH_PATH = "/health"
 
 
 @define
@@ -77,6 +78,7 @@
     runs: list[Run] = field(factory=list)
     running: int = 0
     connections: int = 0
+    health_checks: int = 0
     address: str = ""
 
     def body_for(self, headers: dict[str, str]) -> bytes:
@@ -108,6 +110,10 @@
         if headers.get("expect-instance") not in (None, self.instance):
             await self._reply(stream, connection, 421, headers, b"")
             return True
+        if path == HEALTH_PATH:
+            self.health_checks += 1
+            await self._reply(stream, connection, 200, headers, b"")
+            return True
         arrival = Arrival(trio.current_time(), headers.get("request-id", ""))
         self.arrivals.append(arrival)
         if self.turns_away or self.running >= self.slots:
--- a/tests/platform/test_cut_from_targets.py
+++ b/tests/platform/test_cut_from_targets.py
@@ -17,7 +17,10 @@
 STABLE_S = 3.0
 MEASURED_S = 1.5
 REQUESTS_PER_S = 40
-FORMS = ("hang", "reset", "reset and hang", "refuse")
+FORMS = (
+    *("hang", "reset", "reset and hang", "refuse"),
+    *("accept and hang", "accept and reset"),
+)
 
 
 @define
