--- a/packages/gateway/plantainshed_gateway/permits.py
+++ b/packages/gateway/plantainshed_gateway/permits.py
@@ -78,16 +78,19 @@
         for state in states:
             if self.limits.admits(state):
                 return state
+        for state in self._targets_to_ask_for(states):
+            if await self._request(state):
+                return state
+        return None
+
+    def _targets_to_ask_for(self, states: list[TargetState]) -> list[TargetState]:
         now = trio.current_time()
-        askable = [
+        due = [
             state
             for state in states
             if self._next_request_at.get(state.entry.instance, 0.0) <= now
         ]
-        for state in askable[:TARGETS_ASKED]:
-            if await self._request(state):
-                return state
-        return None
+        return due[:TARGETS_ASKED]
 
     async def _request(self, state: TargetState) -> bool:
         """Ask holders of a target's limit; return whether one granted a permit."""
--- a/packages/gateway/plantainshed_gateway/serving.py
+++ b/packages/gateway/plantainshed_gateway/serving.py
@@ -21,6 +21,7 @@
 from .errors import AttemptFailed, BadRequest, Refusal
 from .forwarding import Answer, Forwarder
 from .members import Members
+from .model import Configuration
 from .permits import Permits
 from .placement import Placement
 from .poison import PoisonTracker, compute_fingerprint
@@ -281,19 +282,11 @@
 
     async def _choose(self, call: Call, excluded: set[str]) -> TargetState:
         configuration = self.admission.configuration
-        vms = self.members.ready_vms()
         if call.pool not in configuration.pools:
             raise self._unanswered_refusal(
                 call, Reason.NO_TARGET, f"pool {call.pool} is no longer configured"
             )
-        state = None
-        if self.permits.limits.limited:
-            outdated = self.placement.outdated(call, excluded)
-            state = await self.permits.find_permitted(outdated)
-        state = state or self.placement.choose(call, configuration, excluded, vms)
-        if state is None and self.permits.limits.limited:
-            limited = self.placement.limited(call, excluded)
-            state = await self.permits.find_permitted(limited)
+        state = await self._find_target(call, configuration, excluded)
         if state is None:
             raise self._unanswered_refusal(
                 call,
@@ -303,6 +296,22 @@
             )
         return state
 
+    async def _find_target(
+        self, call: Call, configuration: Configuration, excluded: set[str]
+    ) -> TargetState | None:
+        """Return a target that can take the request now, or None."""
+        vms = self.members.ready_vms()
+        if not self.permits.limits.limited:
+            return self.placement.choose(call, configuration, excluded, vms)
+        outdated = self.placement.outdated(call, excluded)
+        state = await self.permits.find_permitted(outdated)
+        if state is None:
+            state = self.placement.choose(call, configuration, excluded, vms)
+        if state is None:
+            limited = self.placement.limited(call, excluded)
+            state = await self.permits.find_permitted(limited)
+        return state
+
     async def _attempt_relayed(
         self, exchange: Exchange, call: Call
     ) -> AttemptFailed | None:
--- a/packages/gateway/plantainshed_gateway/target_limits.py
+++ b/packages/gateway/plantainshed_gateway/target_limits.py
@@ -148,12 +148,11 @@
             self._seen_here.discard(instance)
         if limit_per_s == before_per_s:
             return
-        self._divisions.pop(instance, None)
         if limit_per_s is None:
-            self.limited.discard(instance)
-            self._buckets.pop(instance, None)
+            self._forget(instance)
         else:
             self.limited.add(instance)
+            self._divisions.pop(instance, None)
             self.refresh()
         self.log.event(
             "target limit changed",
@@ -185,18 +184,20 @@
             state = self.registry.states.get(instance)
             if state is None or state.limit_per_s is None:
                 # The target is gone or has restarted.
-                self.limited.discard(instance)
-                self._divisions.pop(instance, None)
-                self._buckets.pop(instance, None)
+                self._forget(instance)
         if not self.limited:
             return
         known = max(self.members.count, self.members.largest_fleet_count())
         fraction = len(self.members.alive()) / known
         ready = self.members.ready()
-        if fraction == self.live_fraction and _names(ready) == _names(self._ready):
-            return
-        self.live_fraction, self._ready = fraction, ready
-        self._divisions.clear()
+        if fraction != self.live_fraction or _names(ready) != _names(self._ready):
+            self.live_fraction, self._ready = fraction, ready
+            self._divisions.clear()
+
+    def _forget(self, instance: str):
+        self.limited.discard(instance)
+        self._divisions.pop(instance, None)
+        self._buckets.pop(instance, None)
 
     def admits(self, state: TargetState) -> bool:
         """Return whether a request may go to a target now; if so, count it."""
--- a/tests/gateway/test_target_limits.py
+++ b/tests/gateway/test_target_limits.py
@@ -7,11 +7,17 @@
 import trio
 from attrs import define, field
 
-from plantainshed_gateway.heartbeats import VmState
+from plantainshed_gateway.datagrams import (
+    PermitAnswer,
+    PermitRequest,
+    decode,
+    encode,
+)
+from plantainshed_gateway.heartbeats import LimitReport, VmState
 from plantainshed_gateway.members import Member
 from plantainshed_gateway.permits import Permits
 from plantainshed_gateway.registry import Registry
-from plantainshed_gateway.target_limits import TargetLimits
+from plantainshed_gateway.target_limits import TargetLimits, merged_reports
 from tests.gateway.gateway_support import (
     RecordingLog,
     make_entry,
@@ -358,3 +364,20 @@
             self.assertLessEqual(busiest_window(arrivals), allowed(0.0))
             self.assertGreater(len(arrivals), 0)
             nursery.cancel_scope.cancel()
+
+
+class TestMessages(unittest.TestCase):
+    REPORTS = {"i-0": LimitReport(6.6, 0.25), "i-1": LimitReport(None, 1.0)}
+
+    def test_messages_survive_encoding(self):
+        heartbeat = make_heartbeat("vm-1", limits=self.REPORTS)
+        request = PermitRequest(7, "i-0", self.REPORTS["i-0"])
+        for message in (heartbeat, request, PermitAnswer(7, True)):
+            with self.subTest(type(message).__name__):
+                self.assertEqual(decode(encode(message)), message)
+
+    def test_newest_report_counts_and_old_ones_do_not(self):
+        newer = {"i-0": LimitReport(None, 0.1), "i-2": LimitReport(3.0, 4.9)}
+        merged = merged_reports([(self.REPORTS, 0.0), (newer, 0.1)])
+        expected = self.REPORTS | {"i-0": LimitReport(None, 0.2)}
+        self.assertEqual(merged, expected)
