Skip long answers to other requests again

The two limits differ because the first decides whether the caller gets an answer, the second only whether a connection is kept.

The new test failed with 502 before and passes now.

--- a/packages/gateway/plantainshed_gateway/forwarding.py
+++ b/packages/gateway/plantainshed_gateway/forwarding.py
@@ -152,7 +152,7 @@
                 break
             # This answers an earlier request and is a duplicate or late. The answer
             # to this request follows.
-            await _drain(connection)
+            await _drain(connection, MAX_BUFFERED_BYTES)
             connection.skip_response()
             self.metrics.skipped.inc({"pool": state.entry.pool})
         else:
@@ -233,12 +233,12 @@
     return Answer(head, b"".join(buffered))
 
 
-async def _drain(connection: ClientConnection):
+async def _drain(connection: ClientConnection, max_bytes: int):
     """Read a response to its end and discard it."""
     size = 0
     async for chunk in connection.response_body():
         size += len(chunk)
-        if size > MAX_DISCARDED_BYTES:
+        if size > max_bytes:
             raise ConnectionBroken(f"{connection.address}: answer is too long to skip")
 
 
@@ -249,7 +249,7 @@
     not reusable.
     """
     with trio.move_on_after(DISCARD_TIMEOUT_S), contextlib.suppress(ConnectionBroken):
-        await _drain(connection)
+        await _drain(connection, MAX_DISCARDED_BYTES)
 
 
 def _connection_failure(connection: ClientConnection, problem: str) -> AttemptFailed:
--- a/tests/platform/target_standin.py
+++ b/tests/platform/target_standin.py
@@ -48,6 +48,7 @@
     response_faults : list of str
         Faults of the next answers, in order: ``unsigned`` (no seal), ``encoded``,
         ``truncated``, ``reset``, ``extra`` (another request's answer first),
+        ``long extra`` (the same, of 100 KB),
         ``after`` (bytes after the end), ``fails`` (500), ``garbage``, ``unframed``
         (no length, ends when the connection closes), ``unframed reset`` (the same,
         but reset halfway), ``cut`` (the body ends early). An empty string means no
@@ -150,9 +151,11 @@
             head += "Server-Seal: s\r\nContent-Length: 900\r\n\r\nonly a part"
             await stream.send_all(head.encode())
             return False
-        if fault == "extra":
+        if fault in ("extra", "long extra"):
+            body = "wrong" * (20_000 if fault == "long extra" else 1)
             head = "HTTP/1.1 200 OK\r\nRequest-Id: another\r\nServer-Seal: s\r\n"
-            await stream.send_all((head + "Content-Length: 5\r\n\r\nwrong").encode())
+            head += f"Content-Length: {len(body)}\r\n\r\n"
+            await stream.send_all((head + body).encode())
         if fault == "encoded":
             seal.append(("Content-Encoding", "gzip"))
         if fault == "unsigned":
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -145,6 +145,14 @@
             self.assertEqual((status, body), (200, b"the target's bytes"))
             self.assertEqual(len(system.targets[0].runs), 1)
 
+    @on_real_clock
+    async def test_long_answer_of_another_request_is_skipped(self):
+        """Guards against a booking whose outcome is lost behind a late answer."""
+        async with running_system(1) as system:
+            system.targets[0].response_faults = ["long extra"]
+            status, _, body = await system.ask("/book/1", "POST")
+            self.assertEqual((status, body), (200, b"the target's bytes"))
+
     @on_real_clock
     async def test_bytes_after_an_answer_reach_no_caller(self):
         async with running_system(1) as system:
