Discard responses, select holders and count windows in one place each

Read as a newcomer; behaviour stays as it is.

- Gateway and entry daemon each had a loop that discards a body so that a connection can be reused; the client has one now.
- Holders of a limit are members; a type with three of a member's fields and a parameter that nothing read are gone.
- What makes a limit outdated is decided where limits are kept, and the candidates of an object are looked up twice only if one is outdated.
- A name said that a target is unrestricted where it meant that health checks may be sent to it.
- Tests share how they count windows and run fleets; the soak's two counters of windows are one.

--- a/packages/entry/plantainshed_entry/probing.py
+++ b/packages/entry/plantainshed_entry/probing.py
@@ -51,9 +51,8 @@
                 assigned = self._assigned_targets()
                 self.results = {n: r for n, r in self.results.items() if n in assigned}
                 for state in assigned.values():
-                    if not state.wants_requests:
-                        continue
-                    nursery.start_soon(self._probe_one, state)
+                    if state.wants_requests:
+                        nursery.start_soon(self._probe_one, state)
                 await trio.sleep(PROBE_PERIOD_S)
 
     def _assigned_targets(self) -> dict[str, TargetState]:
--- a/packages/entry/plantainshed_entry/relay.py
+++ b/packages/entry/plantainshed_entry/relay.py
@@ -52,9 +52,6 @@
 NUMBER_PATTERN = re.compile(r"(?=.?[0-9])[0-9]{0,20}(\.[0-9]{0,20})?")
 DRAINING_HEADER = b"plantainshed-draining"
 IDLE_PER_SLOT = 2
-# Limits of what is read of a response only so that its connection can be reused.
-MAX_DISCARDED_BYTES = 16 * 1024
-DISCARD_TIMEOUT_S = 0.1
 
 
 class HttpRelay:
@@ -167,7 +164,8 @@
     async def _relay_response(self, call, state, connection, head):
         _update_from_response(state, head)
         if head.status == 503 and head.header(NOT_RUN_HEADER):
-            await _discard_body(connection)
+            # Whatever follows does not change that.
+            await connection.discard_response()
             raise AttemptFailed(
                 f"target {state.target.name} has no room",
                 Outcome.NOT_RUN,
@@ -200,20 +198,6 @@
             await relay.aclose()
 
 
-async def _discard_body(connection: ClientConnection):
-    """Discard the body of a response that says that the request did not run.
-
-    Whatever follows does not change that. If it does not end soon, the connection is
-    not reusable.
-    """
-    size = 0
-    with trio.move_on_after(DISCARD_TIMEOUT_S), contextlib.suppress(ConnectionBroken):
-        async for chunk in connection.response_body():
-            size += len(chunk)
-            if size > MAX_DISCARDED_BYTES:
-                return
-
-
 def _headers_for_target(call: Call, request: RequestHead) -> Headers:
     headers = [
         (name, value)
@@ -250,10 +234,7 @@
 
 def reported_load(head: ResponseHead) -> float | None:
     """Return the load that a target reports, or None without a valid number."""
-    text = head.header(LOAD_HEADER)
-    if text is None or not NUMBER_PATTERN.fullmatch(text):
-        return None
-    return float(text)
+    return _number(head.header(LOAD_HEADER))
 
 
 def retry_after_s(head: ResponseHead) -> float | None:
@@ -261,8 +242,11 @@
 
     In other responses, the header is meant for the caller.
     """
-    text = head.header(b"retry-after")
-    if head.status != 503 or text is None or not NUMBER_PATTERN.fullmatch(text):
+    return _number(head.header(b"retry-after")) if head.status == 503 else None
+
+
+def _number(text: str | None) -> float | None:
+    if text is None or not NUMBER_PATTERN.fullmatch(text):
         return None
     return float(text)
 
--- a/packages/gateway/plantainshed_gateway/forwarding.py
+++ b/packages/gateway/plantainshed_gateway/forwarding.py
@@ -22,9 +22,6 @@
 # Answers up to this size are buffered completely before the caller gets the first
 # byte, so that the request can still be retried if the connection breaks.
 MAX_BUFFERED_BYTES = 256 * 1024
-# Limits of what is read of an answer only so that its connection can be reused.
-MAX_DISCARDED_BYTES = 16 * 1024
-DISCARD_TIMEOUT_S = 0.1
 # Maximum number of answers to other requests that are skipped on one connection.
 MAX_SKIPPED_ANSWERS = 3
 METHODS_WITHOUT_BODY = frozenset({"GET", "HEAD", "OPTIONS", "DELETE", "TRACE"})
@@ -85,7 +82,7 @@
             is_idempotent = call.route.is_idempotent
             with self.connections.reach.waiting_for_answer(is_idempotent) as scope:
                 await self._send_request(call, state, connection)
-                answer = await self._read_answer(state, connection, call, sent_at)
+                answer = await self._read_answer(call, state, connection, sent_at)
             if scope.cancelled_caught:
                 raise AttemptFailed(
                     Reason.CUT_OFF, "this VM reaches no target any more", True
@@ -138,9 +135,9 @@
 
     async def _read_answer(
         self,
+        call: Call,
         state: TargetState,
         connection: ClientConnection,
-        call: Call,
         sent_at: float,
     ) -> Answer:
         for _ in range(1 + MAX_SKIPPED_ANSWERS):
@@ -152,7 +149,7 @@
                 break
             # This answers an earlier request and is a duplicate or late. The answer
             # to this request follows.
-            await _drain(connection, MAX_BUFFERED_BYTES)
+            await connection.drain_response(MAX_BUFFERED_BYTES)
             connection.skip_response()
             self.metrics.skipped.inc({"pool": state.entry.pool})
         else:
@@ -183,7 +180,8 @@
         if metadata.retry_after_s is not None:
             self._note_retry_after(state, metadata.retry_after_s)
         if metadata.did_not_run:
-            await _discard(connection)
+            # Whatever follows does not change that.
+            await connection.discard_response()
             self.connections.release(state, connection, head)
             raise AttemptFailed(
                 Reason.TARGET_BUSY,
@@ -233,25 +231,6 @@
     return Answer(head, b"".join(buffered))
 
 
-async def _drain(connection: ClientConnection, max_bytes: int):
-    """Read a response to its end and discard it."""
-    size = 0
-    async for chunk in connection.response_body():
-        size += len(chunk)
-        if size > max_bytes:
-            raise ConnectionBroken(f"{connection.address}: answer is too long to skip")
-
-
-async def _discard(connection: ClientConnection):
-    """Discard the rest of a response that says that the request did not run.
-
-    Whatever follows does not change that. If it does not end soon, the connection is
-    not reusable.
-    """
-    with trio.move_on_after(DISCARD_TIMEOUT_S), contextlib.suppress(ConnectionBroken):
-        await _drain(connection, MAX_DISCARDED_BYTES)
-
-
 def _connection_failure(connection: ClientConnection, problem: str) -> AttemptFailed:
     connection.close()
     return AttemptFailed(Reason.CONNECTION_BROKEN, problem, connection.send_started)
--- a/packages/gateway/plantainshed_gateway/gateway.py
+++ b/packages/gateway/plantainshed_gateway/gateway.py
@@ -121,9 +121,7 @@
         self.loans = Loans(self.quotas, self.members, self.peers.send, self.round_trips)
         self.admission = Admission(platform_adapter.wire, self.quotas, self.loans)
         self.target_limits = TargetLimits(self.registry, self.members, context.log)
-        self.permits = Permits(
-            self.target_limits, self.members, self.peers.send, self.round_trips
-        )
+        self.permits = Permits(self.target_limits, self.peers.send, self.round_trips)
         self.queues = QueueLimits(self.round_trips)
         self.placement = Placement(
             settings.region,
--- a/packages/gateway/plantainshed_gateway/health_checks.py
+++ b/packages/gateway/plantainshed_gateway/health_checks.py
@@ -39,10 +39,10 @@
         requests.
         """
         path = self._path(state)
-        if not path or not state.is_unrestricted_at(trio.current_time()):
+        if not path or not state.may_be_checked_at(trio.current_time()):
             return True
-        round_trips_s = self.round_trips.wait_s(state.entry.failure_domain)
-        with trio.move_on_after(ANSWER_TIMEOUT_S + round_trips_s):
+        wait_s = self.round_trips.wait_s(state.entry.failure_domain)
+        with trio.move_on_after(ANSWER_TIMEOUT_S + wait_s):
             try:
                 await connection.request("GET", path, max_bytes=MAX_BODY_BYTES)
             except UnsendableRequest:
--- a/packages/gateway/plantainshed_gateway/permits.py
+++ b/packages/gateway/plantainshed_gateway/permits.py
@@ -16,10 +16,10 @@
 
 from .datagrams import PermitAnswer, PermitRequest
 from .heartbeats import LimitReport
-from .members import Members
+from .members import Member
 from .registry import TargetState
 from .round_trips import RoundTrips
-from .target_limits import Holder, TargetLimits
+from .target_limits import TargetLimits
 
 # Number of holders that are asked for one permit, one after the other.
 HOLDERS_ASKED = 2
@@ -44,7 +44,6 @@
     Parameters
     ----------
     limits : TargetLimits
-    members : Members
     send : callable
         Sends a message to an IP address.
     round_trips : RoundTrips
@@ -53,12 +52,10 @@
     def __init__(
         self,
         limits: TargetLimits,
-        members: Members,
         send: Callable[[object, str], Awaitable[None]],
         round_trips: RoundTrips,
     ):
         self.limits = limits
-        self.members = members
         self.send = send
         self.round_trips = round_trips
         self.random = random.Random()
@@ -101,7 +98,7 @@
         self._next_request_at[state.entry.instance] = until
         return False
 
-    def _holders_to_ask(self, state: TargetState) -> list[Holder]:
+    def _holders_to_ask(self, state: TargetState) -> list[Member]:
         now = trio.current_time()
         holders = [
             holder
@@ -110,7 +107,7 @@
         ]
         return self.random.sample(holders, min(HOLDERS_ASKED, len(holders)))
 
-    async def _request_from(self, holder: Holder, state: TargetState) -> bool:
+    async def _request_from(self, holder: Member, state: TargetState) -> bool:
         number = next(self._numbers)
         pending = self._pending[number] = _PendingRequest()
         age_s = round(trio.current_time() - state.limit_seen_at, 2)
--- a/packages/gateway/plantainshed_gateway/placement.py
+++ b/packages/gateway/plantainshed_gateway/placement.py
@@ -32,7 +32,7 @@
 from .queueing import QueueLimits
 from .registry import Registry, TargetState, usable_among
 from .round_trips import RoundTrips
-from .target_limits import OUTDATED_S, TargetLimits
+from .target_limits import TargetLimits
 
 # Requests per slot, running and waiting, above which an object's first owner is
 # busy. The second owner is then preferred if it is below this threshold.
@@ -157,12 +157,12 @@
 
     def outdated(self, call: Call, excluded: set[str]) -> list[TargetState]:
         """Return the owners of an object whose limit no VM has seen for a while."""
-        oldest = trio.current_time() - OUTDATED_S
+        if not self.limits.has_outdated():
+            return []
         return [
             state
             for state in self._candidates(call).restricted
-            if state.limit_per_s is not None
-            and state.limit_seen_at < oldest
+            if self.limits.is_outdated(state)
             and not state.is_cold
             and state.entry.instance not in excluded
         ]
--- a/packages/gateway/plantainshed_gateway/registry.py
+++ b/packages/gateway/plantainshed_gateway/registry.py
@@ -149,8 +149,8 @@
         """Return whether the target accepts requests of this VM at the current time."""
         return self.retry_at <= now
 
-    def is_unrestricted_at(self, now: float) -> bool:
-        """Return whether the target has not asked for fewer requests."""
+    def may_be_checked_at(self, now: float) -> bool:
+        """Return whether health checks may be sent: it asked for no fewer requests."""
         return self.limit_per_s is None and self.wants_requests_at(now)
 
     @property
--- a/packages/gateway/plantainshed_gateway/target_limits.py
+++ b/packages/gateway/plantainshed_gateway/target_limits.py
@@ -19,13 +19,13 @@
 """
 
 import trio
-from attrs import define, frozen
+from attrs import define
 
 from plantainshed_coordination.digests import rendezvous_order, unit_hash
 
 from .heartbeats import Heartbeat, LimitReport
 from .logs import DecisionLog
-from .members import Members
+from .members import Member, Members
 from .registry import Registry, TargetState
 from .token_bucket import TokenBucket
 
@@ -49,15 +49,6 @@
 OUTDATED_S = 5.0
 
 
-@frozen
-class Holder:
-    """A VM that holds a part of a target's limit."""
-
-    vm: str
-    ip: str
-    failure_domain: str
-
-
 @define
 class _Division:
     """How a target's limit is divided.
@@ -206,14 +197,22 @@
         bucket = self._bucket(state)
         return bucket is not None and bucket.try_take()
 
-    def holders(self, state: TargetState) -> list[Holder]:
+    def is_outdated(self, state: TargetState) -> bool:
+        """Return whether no VM has seen for a while what a target's limit is."""
+        if state.limit_per_s is None:
+            return False
+        return trio.current_time() - state.limit_seen_at > OUTDATED_S
+
+    def has_outdated(self) -> bool:
+        """Return whether the limit of any target is outdated."""
+        states = self.registry.states
+        return any(self.is_outdated(states[i]) for i in self.limited if i in states)
+
+    def holders(self, state: TargetState) -> list[Member]:
         """Return the other VMs that hold parts of a target's limit."""
-        holders = []
-        for beat in self._division(state).holders:
-            member = self.members.table.get(beat.vm)
-            if member is not None:
-                holders.append(Holder(beat.vm, member.ip, beat.failure_domain))
-        return holders
+        table = self.members.table
+        holders = self._division(state).holders
+        return [table[beat.vm] for beat in holders if beat.vm in table]
 
     def _bucket(self, state: TargetState) -> TokenBucket | None:
         """Return the tokens of this VM, or None if it holds no part."""
--- a/packages/gateway/plantainshed_gateway/target_reach.py
+++ b/packages/gateway/plantainshed_gateway/target_reach.py
@@ -176,7 +176,7 @@
         now = trio.current_time()
         states = [s for s in self.registry.states.values() if not s.is_draining]
         # The others cannot be asked for an answer.
-        return [s for s in states if s.is_unrestricted_at(now)] or states
+        return [s for s in states if s.may_be_checked_at(now)] or states
 
     def _distance(self, state: TargetState) -> Distance:
         domain = state.entry.failure_domain
--- a/packages/http/plantainshed_http/client.py
+++ b/packages/http/plantainshed_http/client.py
@@ -21,6 +21,9 @@
 MAX_INTERIM_RESPONSES = 16
 # Maximum size of a body that is collected in memory, if the caller sets no other.
 MAX_BODY_BYTES = 64 * 1024 * 1024
+# Limits of what is read of a response only so that its connection can be reused.
+MAX_DISCARDED_BYTES = 16 * 1024
+DISCARD_TIMEOUT_S = 0.1
 
 
 class ClientConnection:
@@ -120,6 +123,28 @@
                     f"{self.address} closed the connection during its answer"
                 )
 
+    async def drain_response(self, max_bytes: int):
+        """Read the rest of the response and discard it.
+
+        Raises `ConnectionBroken` if it is longer than `max_bytes`.
+        """
+        size = 0
+        async for chunk in self.response_body():
+            size += len(chunk)
+            if size > max_bytes:
+                raise ConnectionBroken(f"{self.address}: answer is too long to skip")
+
+    async def discard_response(self):
+        """Discard the rest of a response that makes no difference.
+
+        If it does not end soon, the connection is not reusable.
+        """
+        with (
+            trio.move_on_after(DISCARD_TIMEOUT_S),
+            contextlib.suppress(ConnectionBroken),
+        ):
+            await self.drain_response(MAX_DISCARDED_BYTES)
+
     def skip_response(self):
         """Discard the response just read and expect another one.
 
--- a/packages/measure/plantainshed_measure/limits_model.py
+++ b/packages/measure/plantainshed_measure/limits_model.py
@@ -106,7 +106,7 @@
             self.members,
             self.speakers,
             self.loans,
-            Permits(limits, self.members, self.peers.send, self.round_trips),
+            Permits(limits, self.peers.send, self.round_trips),
             self.poison,
             {},
             log,
--- a/tests/endless_server.py
+++ b/tests/endless_server.py
@@ -3,7 +3,7 @@
 import contextlib
 
 import trio
-from attrs import define, field
+from attrs import define
 
 BROKEN = (trio.BrokenResourceError, trio.ClosedResourceError)
 CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
@@ -45,7 +45,7 @@
     pause_s: float = 0.0
     open_connections: int = 0
     requests: int = 0
-    address: str = field(default="")
+    address: str = ""
 
     async def serve_connection(self, stream):
         """Serve one connection until the client closes it."""
--- a/tests/gateway/linked_fleet.py
+++ b/tests/gateway/linked_fleet.py
@@ -70,7 +70,7 @@
             self.members,
             self.speakers,
             self.loans,
-            Permits(limits, self.members, self.peers.send, self.round_trips),
+            Permits(limits, self.peers.send, self.round_trips),
             PoisonTracker(),
             {},
             log,
--- a/tests/gateway/test_introductions.py
+++ b/tests/gateway/test_introductions.py
@@ -46,7 +46,7 @@
         members, peers = make_members(), FakePeers()
         log = DecisionLog("vm-0", "mil-a", io.StringIO())
         speakers = Speakers(members)
-        permits = Permits(make_limits(), members, None, None)
+        permits = Permits(make_limits(), None, None)
         messages = PeerMessageHandler(
             peers, members, speakers, None, permits, PoisonTracker(), {}, log
         )
--- a/tests/gateway/test_target_limits.py
+++ b/tests/gateway/test_target_limits.py
@@ -1,5 +1,6 @@
 """Tests how VMs keep a target's limit together, without sockets."""
 
+import contextlib
 import random
 import unittest
 from collections import Counter
@@ -25,6 +26,7 @@
     make_round_trips,
 )
 from tests.support import on_mock_clock
+from tests.windows import most_in_window
 
 WINDOW_S = 4.0
 UPKEEP_INTERVAL_S = 0.25
@@ -38,17 +40,6 @@
     return 1.5 * limit_per_s * WINDOW_S + 5
 
 
-def busiest_window(arrivals: list[float], since: float = 0.0) -> int:
-    """Return the most arrivals within `WINDOW_S`, from a moment on."""
-    times = [at for at in arrivals if at >= since]
-    most, first = 0, 0
-    for last, at in enumerate(times):
-        while times[first] <= at - WINDOW_S:
-            first += 1
-        most = max(most, last - first + 1)
-    return most
-
-
 @define
 class SharedMembers:
     """Members of a VM that hears the VMs of a group; the list is shared by the group.
@@ -95,7 +86,7 @@
         entries = [make_entry(name) for name in fleet.arrivals]
         self.registry.update_entries(entries, may_have_expired=False)
         self.limits = TargetLimits(self.registry, self.members, RecordingLog())
-        self.permits = Permits(self.limits, self.members, self.send, make_round_trips())
+        self.permits = Permits(self.limits, self.send, make_round_trips())
 
     async def send(self, message, ip: str):
         self.fleet.nursery.start_soon(self.fleet.deliver, message, self.name, ip)
@@ -200,22 +191,39 @@
         self.outcomes.clear()
 
 
+@contextlib.asynccontextmanager
+async def running_fleet(count: int, limit_per_s: float, targets: int = 1):
+    """Run VMs that know and keep a limit, until the block ends."""
+    async with trio.open_nursery() as nursery:
+        fleet = LimitedFleet(count, nursery, targets)
+        fleet.limit_per_s = limit_per_s
+        await fleet.settle()
+        yield fleet
+        nursery.cancel_scope.cancel()
+
+
+@contextlib.asynccontextmanager
+async def running_vm():
+    """Run a VM that is alone and knows of no limit, until the block ends."""
+    async with trio.open_nursery() as nursery:
+        yield LimitedFleet(1, nursery).vms["vm-0"]
+        nursery.cancel_scope.cancel()
+
+
 class TestFleetSizes(unittest.TestCase):
     """A limit of all VMs together was taken for one of each VM, or split too finely."""
 
     async def check_size(self, vms: int, limit_per_s: float, targets: int):
-        async with trio.open_nursery() as nursery:
-            fleet = LimitedFleet(vms, nursery, targets)
-            fleet.limit_per_s = limit_per_s
-            await fleet.settle()
+        async with running_fleet(vms, limit_per_s, targets) as fleet:
             await fleet.play(20.0, 10 * limit_per_s * targets)
             for arrivals in fleet.arrivals.values():
-                self.assertLessEqual(busiest_window(arrivals), allowed(limit_per_s))
+                self.assertLessEqual(
+                    most_in_window(arrivals, WINDOW_S), allowed(limit_per_s)
+                )
             # Most of what the targets take is used, whichever VMs the callers choose.
             self.assertGreater(
                 fleet.outcomes["sent"], 0.6 * 20.0 * limit_per_s * targets
             )
-            nursery.cancel_scope.cancel()
 
     @on_mock_clock
     async def test_a_few_vms(self):
@@ -242,67 +250,51 @@
 
     @on_mock_clock
     async def test_vm_that_hears_no_peer_uses_its_part_only(self):
-        async with trio.open_nursery() as nursery:
-            fleet = LimitedFleet(12, nursery)
-            fleet.limit_per_s = 6.0
-            await fleet.settle()
+        async with running_fleet(12, 6.0) as fleet:
             alone, *others = fleet.vms
             fleet.split([[alone], others])
             began_at = trio.current_time()
             await fleet.play(20.0, 60)
             arrivals = fleet.arrivals["i-0"]
-            self.assertLessEqual(busiest_window(arrivals), allowed(6.0))
+            self.assertLessEqual(most_in_window(arrivals, WINDOW_S), allowed(6.0))
             self.assertGreater(len(arrivals), 0.6 * 6.0 * 20.0)
             self.assertGreater(trio.current_time(), began_at)
-            nursery.cancel_scope.cancel()
 
     @on_mock_clock
     async def test_fleet_in_four_parts_keeps_the_limit(self):
-        async with trio.open_nursery() as nursery:
-            fleet = LimitedFleet(12, nursery)
-            fleet.limit_per_s = 6.0
-            await fleet.settle()
+        async with running_fleet(12, 6.0) as fleet:
             names = list(fleet.vms)
             fleet.split([names[first::4] for first in range(4)])
             await fleet.play(20.0, 60)
             arrivals = fleet.arrivals["i-0"]
-            self.assertLessEqual(busiest_window(arrivals), allowed(6.0))
+            self.assertLessEqual(most_in_window(arrivals, WINDOW_S), allowed(6.0))
             self.assertGreater(len(arrivals), 0.5 * 6.0 * 20.0)
-            nursery.cancel_scope.cancel()
 
     @on_mock_clock
     async def test_vms_that_stop_and_join(self):
         """Guards against parts that are used twice while VMs change."""
-        async with trio.open_nursery() as nursery:
-            fleet = LimitedFleet(12, nursery)
-            fleet.limit_per_s = 6.0
-            await fleet.settle()
+        async with running_fleet(12, 6.0) as fleet:
             for number in range(5):
                 fleet.stop(f"vm-{number}")
                 await fleet.play(2.0, 60)
             arrivals = fleet.arrivals["i-0"]
-            self.assertLessEqual(busiest_window(arrivals), allowed(6.0))
+            self.assertLessEqual(most_in_window(arrivals, WINDOW_S), allowed(6.0))
             for number in range(5):
                 name = f"vm-{number}"
                 fleet.vms[name] = LimitedVm(fleet, name, "mil-a")
                 fleet.split([list(fleet.vms)])
                 await fleet.play(2.0, 60)
-            self.assertLessEqual(busiest_window(arrivals), allowed(6.0))
+            self.assertLessEqual(most_in_window(arrivals, WINDOW_S), allowed(6.0))
             self.assertGreater(len(arrivals), 0.5 * 6.0 * 20.0)
-            nursery.cancel_scope.cancel()
 
     @on_mock_clock
     async def test_vm_that_does_not_know_the_others_yet(self):
         """Guards against a VM that has just started and takes the whole limit."""
-        async with trio.open_nursery() as nursery:
-            fleet = LimitedFleet(2, nursery)
-            fleet.limit_per_s = 6.0
-            await fleet.settle()
+        async with running_fleet(2, 6.0) as fleet:
             vm = fleet.vms["vm-0"]
             vm.members.is_listed = False
             state = vm.registry.states["i-0"]
             self.assertFalse(any(vm.limits.admits(state) for _ in range(10)))
-            nursery.cancel_scope.cancel()
 
 
 class TestChangingLimits(unittest.TestCase):
@@ -310,10 +302,7 @@
 
     @on_mock_clock
     async def test_limit_that_ends_is_forgotten_by_all_vms(self):
-        async with trio.open_nursery() as nursery:
-            fleet = LimitedFleet(80, nursery)
-            fleet.limit_per_s = 6.0
-            await fleet.settle()
+        async with running_fleet(80, 6.0) as fleet:
             fleet.limit_per_s = None
             await fleet.play(3.0, 60)
             limited = [vm.name for vm in fleet.vms.values() if vm.limits.limited]
@@ -323,12 +312,10 @@
                 at for at in fleet.arrivals["i-0"] if at > trio.current_time() - 2
             ]
             self.assertGreater(len(recent), 0.9 * 2 * 60)
-            nursery.cancel_scope.cancel()
 
     @on_mock_clock
     async def test_answer_from_before_the_limit_does_not_end_it(self):
-        async with trio.open_nursery() as nursery:
-            vm = LimitedFleet(1, nursery).vms["vm-0"]
+        async with running_vm() as vm:
             state = vm.registry.states["i-0"]
             sent_at = trio.current_time()
             await trio.sleep(1)
@@ -338,32 +325,25 @@
             await trio.sleep(1)
             vm.limits.note_answer(state, None, trio.current_time())
             self.assertIsNone(state.limit_per_s)
-            nursery.cancel_scope.cancel()
 
     @on_mock_clock
     async def test_target_that_restarts_starts_without_a_limit(self):
-        async with trio.open_nursery() as nursery:
-            vm = LimitedFleet(1, nursery).vms["vm-0"]
+        async with running_vm() as vm:
             vm.limits.note_answer(vm.registry.states["i-0"], 6.0, 0.0)
             restarted = make_entry("i-0", started_ms=2)
             vm.registry.update_entries([restarted], may_have_expired=False)
             vm.limits.refresh()
             self.assertEqual(vm.limits.limited, set())
             self.assertTrue(vm.limits.admits(vm.registry.states["i-0"]))
-            nursery.cancel_scope.cancel()
 
     @on_mock_clock
     async def test_limit_of_zero_still_gets_a_request_at_times(self):
         """Guards against limits whose end nobody notices."""
-        async with trio.open_nursery() as nursery:
-            fleet = LimitedFleet(12, nursery)
-            fleet.limit_per_s = 0.0
-            await fleet.settle()
+        async with running_fleet(12, 0.0) as fleet:
             await fleet.play(60.0, 20)
             arrivals = fleet.arrivals["i-0"]
-            self.assertLessEqual(busiest_window(arrivals), allowed(0.0))
+            self.assertLessEqual(most_in_window(arrivals, WINDOW_S), allowed(0.0))
             self.assertGreater(len(arrivals), 0)
-            nursery.cancel_scope.cancel()
 
 
 class TestMessages(unittest.TestCase):
--- a/tests/platform/fleet_support.py
+++ b/tests/platform/fleet_support.py
@@ -20,7 +20,7 @@
 from plantainshed_platform.store import ObjectStore
 from plantainshed_platform.wire import PlatformWire
 
-from .platform_support import BOUNDS, configuration, entry
+from .platform_support import BOUNDS, HOST, KEY, configuration, entry
 from .store_standin import StoreStandin
 from .target_standin import TargetStandin, running_target
 
@@ -173,6 +173,17 @@
         return [line for line in lines if line["message"] == event]
 
 
+def caller_headers(request_id: str, affinity="17", deadline_ms="1000"):
+    """Return the headers of a caller's request."""
+    return {
+        "host": HOST,
+        "request-id": request_id,
+        "affinity-key": affinity,
+        "deadline-ms": deadline_ms,
+        "authorization": f"Bearer {KEY}",
+    }
+
+
 @define
 class Fleet:
     """Gateways, and the store and targets that they share."""
--- a/tests/platform/soak/demands.py
+++ b/tests/platform/soak/demands.py
@@ -5,6 +5,8 @@
 
 from attrs import define
 
+from tests.windows import most_in_window
+
 from .callers import SentRequest
 from .settings import DRAIN_S, STABLE_S
 from .world import Target
@@ -47,11 +49,10 @@
 
 @define
 class SentTo:
-    """A request that arrived at a target, and the VM that its caller asked."""
+    """A request that arrived at a target, and when."""
 
     at: float
     request: SentRequest
-    vm: str
 
 
 class DemandChecker:
@@ -89,7 +90,7 @@
                 if sent.at > arrivals[0].at + UNDERWAY_S
             )
             allowed = LIMIT_OVER * LIMIT_WINDOW_S * demand.limit_per_s + LIMIT_SLACK
-            most = _most_in_window(times, demand.began_at + STABLE_S)
+            most = most_in_window(times, LIMIT_WINDOW_S, demand.began_at + STABLE_S)
             if most > allowed:
                 line = f"{name}: {most} in {LIMIT_WINDOW_S:g} s, {allowed:.0f} allowed"
                 yield "LIMIT", f"{line} from {demand.began_at:.2f}"
@@ -113,21 +114,10 @@
                 continue
             vm = self.vm_of(request)
             if vm and not self.is_excused(vm, demand.began_at, arrival.at):
-                by_vm[vm].append(SentTo(arrival.at, request, vm))
+                by_vm[vm].append(SentTo(arrival.at, request))
         return by_vm
 
 
 def _count_unwanted(arrivals: list[SentTo], told_at: float) -> int:
     since, until = told_at + UNDERWAY_S, told_at + RETRY_AFTER_S
     return sum(since < sent.at < until for sent in arrivals)
-
-
-def _most_in_window(times: list[float], since: float) -> int:
-    """Return the most of some times in a window that ends at or after a moment."""
-    most, first = 0, 0
-    for last, at in enumerate(times):
-        while times[first] <= at - LIMIT_WINDOW_S:
-            first += 1
-        if at >= since:
-            most = max(most, last - first + 1)
-    return most
--- a/tests/platform/soak/promises.py
+++ b/tests/platform/soak/promises.py
@@ -4,6 +4,8 @@
 
 from attrs import define, field
 
+from tests.windows import most_in_window
+
 from .callers import SentRequest
 from .demands import Demand, DemandChecker
 from .faults import SCOPE_ALL, Disturbance
@@ -248,7 +250,7 @@
         for workspace, started_at in times.items():
             rate, burst = RATE_LIMITS[workspace]
             allowed = (rate * QUOTA_WINDOW_S + burst) * (1 + QUOTA_OVER) + QUOTA_SLACK
-            peak = _peak_in_window(sorted(started_at), QUOTA_WINDOW_S)
+            peak = most_in_window(sorted(started_at), QUOTA_WINDOW_S)
             if peak > allowed:
                 line = f"{workspace}: {peak} runs in a window, {allowed:.0f} allowed"
                 self.findings.add("QUOTA", line)
@@ -328,12 +330,3 @@
             final_requests
         ):
             self.findings.add("RECOVER", f"statuses after all faults: {dict(statuses)}")
-
-
-def _peak_in_window(times: list[float], window_s: float) -> int:
-    peak, first = 0, 0
-    for last, at in enumerate(times):
-        while at - times[first] > window_s:
-            first += 1
-        peak = max(peak, last - first + 1)
-    return peak
--- a/tests/platform/test_cut_from_targets.py
+++ b/tests/platform/test_cut_from_targets.py
@@ -8,8 +8,8 @@
 from plantainshed_gateway.connections import ACCEPT_TIMEOUT_S
 from plantainshed_gateway.model import WeightedPool
 from plantainshed_gateway.ports import Lookup
-from tests.platform.fleet_support import FleetVm, running_fleet
-from tests.platform.platform_support import HOST, KEY, configuration, route, send
+from tests.platform.fleet_support import FleetVm, caller_headers, running_fleet
+from tests.platform.platform_support import HOST, configuration, route, send
 from tests.platform.target_standin import TargetStandin
 from tests.support import on_real_clock
 
@@ -46,13 +46,8 @@
 
 async def send_one(vm: FleetVm, tries: FirstTries, number: int):
     is_booking = number % 3 == 0
-    headers = {
-        "host": HOST,
-        "request-id": f"{vm.gateway.context.settings.vm}-{trio.current_time()}",
-        "affinity-key": str(number % 20),
-        "deadline-ms": "1000",
-        "authorization": f"Bearer {KEY}",
-    }
+    request_id = f"{vm.gateway.context.settings.vm}-{trio.current_time()}"
+    headers = caller_headers(request_id, str(number % 20))
     method, path = ("POST", "/book/1") if is_booking else ("GET", "/read/1")
     body = b"seat" if is_booking else b""
     tries.sent += 1
@@ -113,13 +108,8 @@
 
 async def ask(vm: FleetVm, path="/read/1", method="GET", body=b"", deadline_ms="1000"):
     """Send one request; return its status and headers, and how long it took."""
-    headers = {
-        "host": HOST,
-        "request-id": f"ask-{trio.current_time()}",
-        "affinity-key": "17",
-        "deadline-ms": deadline_ms,
-        "authorization": f"Bearer {KEY}",
-    }
+    request_id = f"ask-{trio.current_time()}"
+    headers = caller_headers(request_id, deadline_ms=deadline_ms)
     began_at = trio.current_time()
     status, answered, _ = await send(vm.address, method, path, headers, body)
     return status, answered, trio.current_time() - began_at
--- a/tests/platform/test_target_limits.py
+++ b/tests/platform/test_target_limits.py
@@ -6,10 +6,11 @@
 import trio
 from attrs import define, field
 
-from tests.platform.fleet_support import Fleet, FleetVm, running_fleet
-from tests.platform.platform_support import HOST, KEY, configuration, send
+from tests.platform.fleet_support import Fleet, FleetVm, caller_headers, running_fleet
+from tests.platform.platform_support import KEY, configuration, send
 from tests.platform.target_standin import Arrival, TargetStandin
 from tests.support import on_real_clock
+from tests.windows import most_in_window
 
 # From this time on after a target named its limit, it must be kept.
 STABLE_S = 3.0
@@ -32,10 +33,7 @@
 
 def busiest_window(arrivals: list[Arrival], since: float) -> int:
     """Return the most arrivals within `WINDOW_S` after a moment."""
-    times = [one.at for one in arrivals if one.at >= since]
-    return max(
-        (sum(at <= other < at + WINDOW_S for other in times) for at in times), default=0
-    )
+    return most_in_window([one.at for one in arrivals if one.at >= since], WINDOW_S)
 
 
 @define
@@ -46,19 +44,10 @@
     refused_after_s: list[float] = field(factory=list)
     without_retry_after: int = 0
 
-    @property
-    def total(self) -> int:
-        return self.statuses.total()
-
 
 async def ask(vm: FleetVm, number: int, answers: Answers):
-    headers = {
-        "host": HOST,
-        "request-id": f"{vm.gateway.context.settings.vm}-{number}",
-        "affinity-key": str(number % 50),
-        "deadline-ms": "1000",
-        "authorization": f"Bearer {KEY}",
-    }
+    request_id = f"{vm.gateway.context.settings.vm}-{number}"
+    headers = caller_headers(request_id, str(number % 50))
     method, path, body = ("GET", "/read/1", b"")
     if number % 3 == 0:
         method, path, body = ("POST", "/book/1", b"seat")
--- a/tests/platform/test_target_retry_after.py
+++ b/tests/platform/test_target_retry_after.py
@@ -26,15 +26,14 @@
         target.extra_headers["Retry-After"] = f"{seconds}"
 
 
-def most_arrivals(target: TargetStandin, seconds=RETRY_AFTER_S, until=float("inf")):
+def most_arrivals(target: TargetStandin) -> int:
     """Return the most requests from one VM in the time in which it was to send none."""
     by_vm = defaultdict(list)
     for arrival in target.arrivals:
-        if arrival.at < until:
-            by_vm[arrival.request_id.rpartition("-")[0]].append(arrival.at)
+        by_vm[arrival.request_id.rpartition("-")[0]].append(arrival.at)
     return max(
         (
-            sum(at + UNDERWAY_S < other < at + seconds for other in times)
+            sum(at + UNDERWAY_S < other < at + RETRY_AFTER_S for other in times)
             for times in by_vm.values()
             for at in times
         ),
@@ -96,8 +95,7 @@
                 system.store.put("servers", target.instance, entry(target, seq=seq))
                 await trio.sleep(0.2)
                 await system.ask()
-            late = [one for one in target.arrivals[1:]]
-            self.assertLessEqual(len(late), 1)
+            self.assertLessEqual(len(target.arrivals[1:]), 1)
 
     @on_real_clock
     async def test_restarted_target(self):
