Move the decisions about targets into one subpackage

The gateway's flat modules mixed decisions with sockets, tasks and messages. Placement, queueing, cold targets, limits, round trips, token bucket and the registry are now plantainshed_gateway.selection, which does not know connections or datagrams; placement sees connections through a protocol. Permits stay outside, since they exchange messages.

No behaviour changes.

--- a/packages/gateway/plantainshed_gateway/call.py
+++ b/packages/gateway/plantainshed_gateway/call.py
@@ -7,8 +7,8 @@
 
 from .model import Route, Workspace
 from .ports import CallerRequest
-from .registry import TargetState
 from .relay_messages import RelayedRequest
+from .selection.registry import TargetState
 
 
 @define
--- a/packages/gateway/plantainshed_gateway/connections.py
+++ b/packages/gateway/plantainshed_gateway/connections.py
@@ -14,8 +14,8 @@
 from plantainshed_http.errors import ConnectFailed
 from plantainshed_http.messages import ResponseHead
 
-from .registry import TargetState
-from .round_trips import RoundTrips
+from .selection.registry import TargetState
+from .selection.round_trips import RoundTrips
 from .target_reach import TargetReach
 
 # Time allowed for a busy target to accept a connection, in addition to the round
--- a/packages/gateway/plantainshed_gateway/distance_prober.py
+++ b/packages/gateway/plantainshed_gateway/distance_prober.py
@@ -6,8 +6,8 @@
 
 from .connections import TargetConnections
 from .logs import DecisionLog
-from .registry import Registry, TargetState
-from .round_trips import RoundTrips
+from .selection.registry import Registry, TargetState
+from .selection.round_trips import RoundTrips
 
 # Minimum interval between probes of a failure domain with unknown distance.
 PROBE_INTERVAL_S = 1.0
--- a/packages/gateway/plantainshed_gateway/forwarding.py
+++ b/packages/gateway/plantainshed_gateway/forwarding.py
@@ -16,8 +16,8 @@
 from .metrics import Metrics
 from .ports import TargetAnswer, TargetRequestInfo, Wire
 from .reasons import Reason
-from .registry import TargetState
-from .target_limits import TargetLimits
+from .selection.registry import TargetState
+from .selection.target_limits import TargetLimits
 
 # Answers up to this size are buffered completely before the caller gets the first
 # byte, so that the request can still be retried if the connection breaks.
--- a/packages/gateway/plantainshed_gateway/gateway.py
+++ b/packages/gateway/plantainshed_gateway/gateway.py
@@ -6,7 +6,6 @@
 from plantainshed_http.server import ConnectionLimits, Exchange
 
 from .admission import Admission
-from .cold import ColdTargets
 from .connections import TargetConnections
 from .context import Context
 from .datagrams import Message
@@ -24,25 +23,26 @@
 from .peer_messages import PeerMessageHandler
 from .peers import Peers, StateHandler
 from .permits import Permits
-from .placement import Placement
 from .poison import PoisonTracker
 from .ports import Collection
-from .queueing import QueueLimits
 from .quota import Quotas
 from .reach_prober import ReachProber
-from .registry import Registry
 from .relay_choice import RelayChoice
 from .relay_messages import RELAY_HEADER
 from .relaying import Relaying
 from .replication import Follower
 from .retry_budget import RetryBudgets
-from .round_trips import RoundTrips
+from .selection.cold import ColdTargets
+from .selection.placement import Placement
+from .selection.queueing import QueueLimits
+from .selection.registry import Registry
+from .selection.round_trips import RoundTrips
+from .selection.target_limits import TargetLimits
 from .serving import Serving
 from .settings import Settings
 from .speakers import Speakers
 from .start_order import StartOrder
 from .state_applier import StateApplier
-from .target_limits import TargetLimits
 from .target_reach import TargetReach
 from .vm_list import VmListReader
 
--- a/packages/gateway/plantainshed_gateway/health_checks.py
+++ b/packages/gateway/plantainshed_gateway/health_checks.py
@@ -9,8 +9,8 @@
 from plantainshed_http.client import ClientConnection
 from plantainshed_http.errors import ConnectionBroken, UnsendableRequest
 
-from .registry import Registry, TargetState
-from .round_trips import RoundTrips
+from .selection.registry import Registry, TargetState
+from .selection.round_trips import RoundTrips
 
 # Time allowed for a busy target to answer, in addition to the round trips.
 ANSWER_TIMEOUT_S = 0.5
--- a/packages/gateway/plantainshed_gateway/loans.py
+++ b/packages/gateway/plantainshed_gateway/loans.py
@@ -22,7 +22,7 @@
 from .members import Members
 from .model import Workspace
 from .quota import Quotas
-from .round_trips import RoundTrips
+from .selection.round_trips import RoundTrips
 
 # Number of near VMs that are asked, one after the other. In a simulation without a
 # network at 78 VMs, 4 % of a small workspace's requests were refused with two, 0.4 %
--- a/packages/gateway/plantainshed_gateway/permits.py
+++ b/packages/gateway/plantainshed_gateway/permits.py
@@ -17,9 +17,9 @@
 from .datagrams import PermitAnswer, PermitRequest
 from .heartbeats import LimitReport
 from .members import Member
-from .registry import TargetState
-from .round_trips import RoundTrips
-from .target_limits import TargetLimits
+from .selection.registry import TargetState
+from .selection.round_trips import RoundTrips
+from .selection.target_limits import TargetLimits
 
 # Number of holders that are asked for one permit, one after the other.
 HOLDERS_ASKED = 2
--- a/packages/gateway/plantainshed_gateway/quota.py
+++ b/packages/gateway/plantainshed_gateway/quota.py
@@ -45,7 +45,7 @@
 from .holders import Holders
 from .members import Members
 from .model import Workspace
-from .round_trips import RoundTrips
+from .selection.round_trips import RoundTrips
 from .settings import Bounds
 from .usage_view import UsageTotals, UsageView, view_usage
 
--- a/packages/gateway/plantainshed_gateway/reach_prober.py
+++ b/packages/gateway/plantainshed_gateway/reach_prober.py
@@ -13,7 +13,7 @@
 from .connections import TargetConnections
 from .health_checks import HealthChecks
 from .logs import DecisionLog
-from .registry import Registry, TargetState
+from .selection.registry import Registry, TargetState
 from .target_reach import TargetReach
 
 # Interval of the attempts to reach a target while this VM is cut off.
--- a/packages/gateway/plantainshed_gateway/relaying.py
+++ b/packages/gateway/plantainshed_gateway/relaying.py
@@ -34,7 +34,7 @@
     RelayedRequest,
     without_relay_headers,
 )
-from .round_trips import RoundTrips
+from .selection.round_trips import RoundTrips
 
 # Maximum number of VMs that are asked to forward one request. More than one is needed
 # until a cut of many VMs is known everywhere.
--- a/packages/gateway/plantainshed_gateway/cold.py
+++ b/packages/gateway/plantainshed_gateway/selection/cold.py
@@ -6,9 +6,9 @@
 send it nothing.
 """
 
-from .model import Pool
+from ..model import Pool
+from ..settings import Bounds
 from .registry import TargetState, vms_for_cold_target
-from .settings import Bounds
 from .token_bucket import TokenBucket
 
 # Fraction of the tolerance above a cold target's rate that is used. The margin covers
--- a/packages/gateway/plantainshed_gateway/placement.py
+++ b/packages/gateway/plantainshed_gateway/selection/placement.py
@@ -19,16 +19,16 @@
 
 import random
 from collections.abc import Callable
+from typing import Protocol
 
 import trio
 from attrs import define, field, frozen
 
 from plantainshed_coordination.digests import unit_hash, weighted_score
 
-from .call import Call
+from ..call import Call
+from ..model import Configuration, Route
 from .cold import ColdTargets
-from .connections import TargetConnections
-from .model import Configuration, Route
 from .queueing import QueueLimits
 from .registry import Registry, TargetState, usable_among
 from .round_trips import RoundTrips
@@ -50,6 +50,13 @@
 MAX_CACHED_RANKINGS = 20_000
 
 
+class IdleConnections(Protocol):
+    """The part of the connections to targets that affects a choice."""
+
+    def has_idle(self, state: TargetState) -> bool:
+        """Return whether an idle connection to a target can be reused."""
+
+
 @frozen
 class _CachedRanking:
     generation: int
@@ -80,7 +87,7 @@
     cold : ColdTargets
     limits : TargetLimits
     queues : QueueLimits
-    connections : TargetConnections
+    connections : IdleConnections
     round_trips : RoundTrips
     """
 
@@ -91,7 +98,7 @@
         cold: ColdTargets,
         limits: TargetLimits,
         queues: QueueLimits,
-        connections: TargetConnections,
+        connections: IdleConnections,
         round_trips: RoundTrips,
     ):
         self.region = region
--- a/packages/gateway/plantainshed_gateway/queueing.py
+++ b/packages/gateway/plantainshed_gateway/selection/queueing.py
@@ -9,7 +9,7 @@
 import trio
 from attrs import define
 
-from .call import Call
+from ..call import Call
 from .registry import TargetState
 from .round_trips import RoundTrips
 
--- a/packages/gateway/plantainshed_gateway/registry.py
+++ b/packages/gateway/plantainshed_gateway/selection/registry.py
@@ -7,8 +7,8 @@
 
 from plantainshed_coordination.digests import rendezvous_order
 
-from .model import Configuration
-from .ports import TargetEntry, TargetLoad
+from ..model import Configuration
+from ..ports import TargetEntry, TargetLoad
 
 # How long a target stays in use after its entry expired together with many
 # others. After an outage of the store, live targets write their entries again
--- a/packages/gateway/plantainshed_gateway/round_trips.py
+++ b/packages/gateway/plantainshed_gateway/selection/round_trips.py
@@ -8,7 +8,7 @@
 
 from attrs import define, field
 
-from .logs import DecisionLog
+from ..logs import DecisionLog
 
 # Number of recent samples. The shortest of them is used, which excludes samples that
 # include the retransmission of a lost packet after a second, or a wait for a processor.
--- a/packages/gateway/plantainshed_gateway/target_limits.py
+++ b/packages/gateway/plantainshed_gateway/selection/target_limits.py
@@ -23,9 +23,9 @@
 
 from plantainshed_coordination.digests import rendezvous_order, unit_hash
 
-from .heartbeats import Heartbeat, LimitReport
-from .logs import DecisionLog
-from .members import Member, Members
+from ..heartbeats import Heartbeat, LimitReport
+from ..logs import DecisionLog
+from ..members import Member, Members
 from .registry import Registry, TargetState
 from .token_bucket import TokenBucket
 
--- a/packages/gateway/plantainshed_gateway/serving.py
+++ b/packages/gateway/plantainshed_gateway/serving.py
@@ -23,12 +23,9 @@
 from .members import Members
 from .model import Configuration
 from .permits import Permits
-from .placement import Placement
 from .poison import PoisonTracker, compute_fingerprint
-from .queueing import QueueLimits
 from .reach_prober import ReachProber
 from .reasons import Reason
-from .registry import TargetState
 from .relay_admission import require_same_handling
 from .relay_messages import (
     RelayedRequest,
@@ -38,6 +35,9 @@
 )
 from .relaying import Relaying
 from .retry_budget import RetryBudgets
+from .selection.placement import Placement
+from .selection.queueing import QueueLimits
+from .selection.registry import TargetState
 
 # Attempts allowed beyond the route's limit while no target has run the request.
 EXTRA_ATTEMPTS_NOT_RUN = 2
--- a/packages/gateway/plantainshed_gateway/speakers.py
+++ b/packages/gateway/plantainshed_gateway/speakers.py
@@ -27,7 +27,7 @@
     VmSummary,
 )
 from .members import Member, Members
-from .target_limits import merged_reports
+from .selection.target_limits import merged_reports
 from .usage_view import UsageSums
 
 # Number of speakers of a failure domain.
--- a/packages/gateway/plantainshed_gateway/state_applier.py
+++ b/packages/gateway/plantainshed_gateway/state_applier.py
@@ -16,8 +16,8 @@
 from .logs import DecisionLog
 from .model import Configuration
 from .ports import Collection, Decoder, Item, TargetEntry
-from .registry import Registry
 from .replication import PEER_GRACE_S, Follower
+from .selection.registry import Registry
 
 # How long after a store outage expired entries of live targets may still be
 # missing; targets write them again within two seconds.
--- a/packages/gateway/plantainshed_gateway/target_reach.py
+++ b/packages/gateway/plantainshed_gateway/target_reach.py
@@ -12,7 +12,7 @@
 import trio
 from attrs import define, field
 
-from .registry import Registry, TargetState
+from .selection.registry import Registry, TargetState
 
 # Time without an answer, while requests wait for one, after which targets are probed.
 SILENCE_S = 1.0
--- a/packages/measure/plantainshed_measure/placing_model.py
+++ b/packages/measure/plantainshed_measure/placing_model.py
@@ -15,7 +15,6 @@
 from attrs import define, field, frozen
 
 from plantainshed_gateway.call import Call
-from plantainshed_gateway.cold import ColdTargets
 from plantainshed_gateway.connections import TargetConnections
 from plantainshed_gateway.heartbeats import Heartbeat, VmState
 from plantainshed_gateway.logs import DecisionLog
@@ -28,13 +27,14 @@
     Route,
     WeightedPool,
 )
-from plantainshed_gateway.placement import Placement
 from plantainshed_gateway.ports import CallerRequest, TargetEntry, TargetLoad
-from plantainshed_gateway.queueing import QueueLimits
-from plantainshed_gateway.registry import Registry, TargetState
-from plantainshed_gateway.round_trips import RoundTrips
+from plantainshed_gateway.selection.cold import ColdTargets
+from plantainshed_gateway.selection.placement import Placement
+from plantainshed_gateway.selection.queueing import QueueLimits
+from plantainshed_gateway.selection.registry import Registry, TargetState
+from plantainshed_gateway.selection.round_trips import RoundTrips
+from plantainshed_gateway.selection.target_limits import TargetLimits
 from plantainshed_gateway.settings import Bounds
-from plantainshed_gateway.target_limits import TargetLimits
 from plantainshed_gateway.target_reach import TargetReach
 from plantainshed_http.messages import RequestHead, ResponseHead
 
--- a/packages/measure/plantainshed_measure/placing_policies.py
+++ b/packages/measure/plantainshed_measure/placing_policies.py
@@ -7,8 +7,8 @@
 
 from plantainshed_coordination.digests import weighted_score
 from plantainshed_gateway.call import Call
-from plantainshed_gateway.placement import Placement
-from plantainshed_gateway.registry import Registry, TargetState
+from plantainshed_gateway.selection.placement import Placement
+from plantainshed_gateway.selection.registry import Registry, TargetState
 
 
 class PolicyVm(Protocol):
--- a/tests/gateway/gateway_support.py
+++ b/tests/gateway/gateway_support.py
@@ -16,10 +16,10 @@
     Workspace,
 )
 from plantainshed_gateway.ports import CallerRequest, TargetEntry
-from plantainshed_gateway.registry import Registry
-from plantainshed_gateway.round_trips import RoundTrips
+from plantainshed_gateway.selection.registry import Registry
+from plantainshed_gateway.selection.round_trips import RoundTrips
+from plantainshed_gateway.selection.target_limits import TargetLimits
 from plantainshed_gateway.settings import Bounds
-from plantainshed_gateway.target_limits import TargetLimits
 from plantainshed_gateway.target_reach import TargetReach
 from plantainshed_http.messages import RequestHead
 
--- a/tests/gateway/linked_fleet.py
+++ b/tests/gateway/linked_fleet.py
@@ -16,10 +16,10 @@
 from plantainshed_gateway.permits import Permits
 from plantainshed_gateway.poison import PoisonTracker
 from plantainshed_gateway.quota import Quotas
-from plantainshed_gateway.registry import Registry
-from plantainshed_gateway.round_trips import RoundTrips
+from plantainshed_gateway.selection.registry import Registry
+from plantainshed_gateway.selection.round_trips import RoundTrips
+from plantainshed_gateway.selection.target_limits import TargetLimits
 from plantainshed_gateway.speakers import Speakers
-from plantainshed_gateway.target_limits import TargetLimits
 
 from .gateway_support import BOUNDS, make_heartbeat
 
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/selection/test_placement.py
@@ -4,12 +4,12 @@
 
 import trio
 
-from plantainshed_gateway.cold import ColdTargets
 from plantainshed_gateway.connections import TargetConnections
-from plantainshed_gateway.placement import Placement
 from plantainshed_gateway.ports import TargetLoad
-from plantainshed_gateway.queueing import QueueLimits
-from plantainshed_gateway.registry import (
+from plantainshed_gateway.selection.cold import ColdTargets
+from plantainshed_gateway.selection.placement import Placement
+from plantainshed_gateway.selection.queueing import QueueLimits
+from plantainshed_gateway.selection.registry import (
     EXPIRY_GRACE_S,
     FAILURES_TO_EJECT,
     INITIAL_EJECTION_S,
--- a/tests/gateway/test_target_limits.py
+++ b/tests/gateway/selection/test_target_limits.py
@@ -17,8 +17,8 @@
 from plantainshed_gateway.heartbeats import LimitReport, VmState
 from plantainshed_gateway.members import Member
 from plantainshed_gateway.permits import Permits
-from plantainshed_gateway.registry import Registry
-from plantainshed_gateway.target_limits import TargetLimits, merged_reports
+from plantainshed_gateway.selection.registry import Registry
+from plantainshed_gateway.selection.target_limits import TargetLimits, merged_reports
 from tests.gateway.gateway_support import (
     RecordingLog,
     make_entry,
--- a/tests/gateway/test_connections.py
+++ b/tests/gateway/test_connections.py
@@ -6,7 +6,7 @@
 from plantainshed_gateway.connections import TargetConnections
 from plantainshed_gateway.distance_prober import DistanceProber
 from plantainshed_gateway.logs import DecisionLog
-from plantainshed_gateway.registry import Registry
+from plantainshed_gateway.selection.registry import Registry
 from plantainshed_http.errors import ConnectFailed
 from plantainshed_http.messages import ResponseHead
 from tests.gateway.gateway_support import (
--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/test_limits.py
@@ -2,10 +2,10 @@
 
 import trio
 
-from plantainshed_gateway.cold import ColdTargets
 from plantainshed_gateway.poison import PoisonTracker, compute_fingerprint
-from plantainshed_gateway.registry import TargetState
 from plantainshed_gateway.retry_budget import RetryBudgets
+from plantainshed_gateway.selection.cold import ColdTargets
+from plantainshed_gateway.selection.registry import TargetState
 from tests.gateway.gateway_support import BOUNDS, POOL, make_entry
 from tests.support import on_mock_clock
 
--- a/tests/gateway/test_retry_after.py
+++ b/tests/gateway/test_retry_after.py
@@ -7,7 +7,7 @@
 from plantainshed_gateway.errors import AttemptFailed
 from plantainshed_gateway.forwarding import Forwarder
 from plantainshed_gateway.metrics import Metrics
-from plantainshed_gateway.registry import usable_among
+from plantainshed_gateway.selection.registry import usable_among
 from tests.gateway.gateway_support import RecordingLog, make_call, make_limits
 from tests.gateway.test_placement import ROUTE, make_registry
 from tests.support import on_mock_clock
--- a/tests/gateway/test_state_applier.py
+++ b/tests/gateway/test_state_applier.py
@@ -6,8 +6,8 @@
 from plantainshed_gateway.errors import BadItem
 from plantainshed_gateway.ports import Collection, Item, Snapshot
 from plantainshed_gateway.quota import Quotas
-from plantainshed_gateway.registry import Registry
 from plantainshed_gateway.replication import PEER_GRACE_S, Follower
+from plantainshed_gateway.selection.registry import Registry
 from plantainshed_gateway.state_applier import StateApplier
 from plantainshed_http.server import ConnectionLimits
 from tests.gateway.gateway_support import (
--- a/tests/gateway/test_target_reach.py
+++ b/tests/gateway/test_target_reach.py
@@ -6,7 +6,7 @@
 
 from plantainshed_gateway.connections import TargetConnections
 from plantainshed_gateway.reach_prober import ReachProber
-from plantainshed_gateway.registry import Registry
+from plantainshed_gateway.selection.registry import Registry
 from plantainshed_gateway.target_reach import SILENCE_S, TargetReach
 from plantainshed_http.errors import ConnectFailed
 from tests.gateway.gateway_support import RecordingLog, make_entry, make_round_trips
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from plantainshed_gateway.registry import FAILURES_TO_EJECT
+from plantainshed_gateway.selection.registry import FAILURES_TO_EJECT
 from plantainshed_http.errors import ConnectionBroken
 from plantainshed_http.server import Stopping, serve_http
 from tests.platform.platform_support import (
