--- a/packages/gateway/plantainshed_gateway/selection/load_reports.py
+++ b/packages/gateway/plantainshed_gateway/selection/load_reports.py
@@ -1,10 +1,10 @@
 """What all VMs together know of the load of targets, pools and objects.
 
 This is designed for fleets in which one VM sees too little to choose well: with 80 VMs
-and 76 targets, a VM gets an answer of a given target every 15 s, and a load report in an
-answer is outdated after less than one. Each VM therefore measures its own part, the
-requests that it has in flight and those that its callers send, and reports it to the
-others in messages that are sent anyway. The sums are the load of the fleet.
+and 76 targets, a VM gets an answer of a given target every 15 s, and the load that an
+answer names is outdated after less than a second. Each VM therefore measures its own
+part, the requests that it has in flight and those that its callers send, and reports it
+to the others in messages that are sent anyway. The sums are the load of the fleet.
 
 The reports are averages over about a second. They are up to a second old when they
 arrive, so they tell which targets are busier than others, not how long a queue is now.
