--- a/packages/gateway/plantainshed_gateway/call.py
+++ b/packages/gateway/plantainshed_gateway/call.py
@@ -48,6 +48,9 @@
     load, load_age_s : float or None
         Expected load of the instance chosen last, at that time, and the age of its
         load report. `load_age_s` is None if there was no report.
+    owner_rank : int or None
+        Rank of the chosen target among the object's owners; see `selection.choice`.
+        None if it was not chosen by rank.
     fingerprint : str
         Identifies the same request when it is repeated; see `PoisonTracker`.
     """
@@ -69,6 +72,7 @@
     tried: list[str] = field(factory=list)
     load: float | None = None
     load_age_s: float | None = None
+    owner_rank: int | None = None
     fingerprint: str = ""
 
     def apply_relayed(self, relayed: RelayedRequest):
@@ -108,6 +112,19 @@
             return (of_route & of_workspace) or frozenset({""})
         return of_route or of_workspace
 
+    @property
+    def priority(self) -> int:
+        """Priority of the workspace, or else of the route; 0 is the highest."""
+        of_workspace = self.workspace.priority if self.workspace else None
+        return self.route.priority if of_workspace is None else of_workspace
+
+    @property
+    def object_key(self) -> str | None:
+        """Identifies the object that it concerns; None if targets do not cache it."""
+        if not self.route.is_sticky or self.request.affinity is None:
+            return None
+        return f"{self.route.name}/{self.request.affinity}"
+
     @property
     def workspace_name(self) -> str | None:
         """Name of the workspace; None if the request has no workspace."""
--- a/packages/gateway/plantainshed_gateway/gateway.py
+++ b/packages/gateway/plantainshed_gateway/gateway.py
@@ -151,7 +151,6 @@
             self.retries,
             self.members,
             self.poison,
-            self.queues,
             self.reach_prober,
             Relaying(
                 settings.vm,
--- /dev/null
+++ b/packages/gateway/plantainshed_gateway/selection/choice.py
@@ -0,0 +1,176 @@
+"""The choice of one target by the load that all VMs report.
+
+The entry function is `LoadAwareChoice.choose`: which targets own the object, how long
+each is expected to take, whether the pool has room for the request, and which target
+gets it.
+
+The choice is drawn at random, the shorter the expected time the more likely. All VMs
+work with the same reports, which are up to a second old; if each took the best target,
+all of them would fill the same gap.
+"""
+
+import math
+import random
+from collections.abc import Sequence
+
+from attrs import frozen
+
+from ..call import Call
+from .expected_time import (
+    ExpectedTime,
+    ExpectedTimes,
+    first_run_share_of,
+    runs_key,
+)
+from .load_reports import FleetLoad
+from .owners import RESERVE, OwnerCounts
+from .registry import TargetState
+from .run_times import RunTimes
+from .shedding import PoolRoom
+
+# Difference of expected times, in run times, at which a target is chosen e times less
+# often.
+SPREAD_RUNS = 0.15
+# Number of other targets whose load is compared with that of the owners.
+OTHERS_COMPARED = 2
+# How much sooner, in run times, a target that does not own the object must be expected
+# to answer. Its run makes it forget another object.
+OTHERS_ADVANTAGE_RUNS = 0.5
+# Longest accepted wait as a ratio of the objective, while the pool has room.
+MAX_WAIT_RATIO = 1.0
+# Wait that is accepted although the pool is short, in run times. Without it, first runs
+# and requests that come back would never be admitted, as they are late anyway.
+MIN_ACCEPTED_WAIT_RUNS = 0.5
+
+
+@frozen
+class RankedTarget:
+    """A target with its rank among an object's owners and the expected time.
+
+    Parameters
+    ----------
+    state : TargetState
+    rank : int
+        0 for an owner that the object's requests keep busy, otherwise 1.
+    expected : ExpectedTime
+    """
+
+    state: TargetState
+    rank: int
+    expected: ExpectedTime
+
+
+class LoadAwareChoice:
+    """Chooses targets by the load that all VMs report.
+
+    Parameters
+    ----------
+    fleet_load : FleetLoad
+    run_times : RunTimes
+    expected_times : ExpectedTimes
+    owners : OwnerCounts
+    """
+
+    def __init__(
+        self,
+        fleet_load: FleetLoad,
+        run_times: RunTimes,
+        expected_times: ExpectedTimes,
+        owners: OwnerCounts,
+    ):
+        self.fleet_load = fleet_load
+        self.run_times = run_times
+        self.expected_times = expected_times
+        self.owners = owners
+        self.random = random.Random()
+
+    def owner_count(self, call: Call, object_key: str, slots: int) -> int:
+        """Return the number of an object's owners, including the reserve."""
+        busy = self.owners.busy_owners(object_key, call.pool, slots)
+        return busy + RESERVE
+
+    def choose(
+        self,
+        call: Call,
+        owners: Sequence[TargetState],
+        others: Sequence[TargetState],
+        room: PoolRoom,
+    ) -> RankedTarget | None:
+        """Return the target that gets a request, or None if it would wait too long.
+
+        Parameters
+        ----------
+        call : Call
+        owners : sequence of TargetState
+            Owners of the object by rank; the last one is the reserve. Empty if the
+            request concerns no object.
+        others : sequence of TargetState
+            Targets that do not own it.
+        room : PoolRoom
+        """
+        ranked = [
+            one
+            for one in self._rank(call.pool, owners, others)
+            if self._is_in_time(call, one, room)
+        ]
+        return self._draw(call.pool, ranked) if ranked else None
+
+    def note_answer(self, call: Call, state: TargetState, seconds: float):
+        """Record the duration of an attempt that a target answered."""
+        is_first = self.run_times.note_answer(state, seconds)
+        if is_first is not None and call.owner_rank is not None:
+            key = runs_key(state.entry.pool, call.owner_rank)
+            self.fleet_load.own.note_run(key, is_first)
+
+    def _rank(
+        self,
+        pool: str,
+        owners: Sequence[TargetState],
+        others: Sequence[TargetState],
+    ) -> list[RankedTarget]:
+        shares = [first_run_share_of(self.fleet_load, pool, rank) for rank in (0, 1)]
+        busy = max(1, len(owners) - RESERVE)
+        ranked = [
+            RankedTarget(state, rank, self.expected_times.at(state, shares[rank]))
+            for position, state in enumerate(owners)
+            for rank in (int(position >= busy),)
+        ]
+        compared = self.random.sample(others, min(OTHERS_COMPARED, len(others)))
+        unowned = [
+            RankedTarget(state, 1, self.expected_times.at(state, 1.0))
+            for state in compared
+        ]
+        if not ranked:
+            return unowned
+        advantage_s = OTHERS_ADVANTAGE_RUNS * self._run_s(pool)
+        soonest_s = min(_total_s(one) for one in ranked)
+        return ranked + [
+            one for one in unowned if _total_s(one) + advantage_s < soonest_s
+        ]
+
+    def _run_s(self, pool: str) -> float:
+        run_time = self.run_times.of(pool)
+        return run_time.later_s if run_time else 0.0
+
+    def _draw(self, pool: str, ranked: list[RankedTarget]) -> RankedTarget:
+        spread_s = max(0.001, SPREAD_RUNS * self._run_s(pool))
+        soonest_s = min(_total_s(one) for one in ranked)
+        weights = [math.exp((soonest_s - _total_s(one)) / spread_s) for one in ranked]
+        return self.random.choices(ranked, weights)[0]
+
+    def _is_in_time(self, call: Call, ranked: RankedTarget, room: PoolRoom) -> bool:
+        expected, route = ranked.expected, call.route
+        if expected.wait_s <= 0:
+            return True
+        if expected.total_s > call.seconds_left:
+            return False
+        longest_s = route.objective_s * MAX_WAIT_RATIO
+        if room.is_short:
+            run_s = self._run_s(call.pool)
+            in_time_s = route.objective_s - expected.way_s - run_s
+            longest_s = max(MIN_ACCEPTED_WAIT_RUNS * run_s, in_time_s)
+        return expected.wait_s <= longest_s
+
+
+def _total_s(one: RankedTarget) -> float:
+    return one.expected.total_s
--- a/packages/gateway/plantainshed_gateway/selection/load_reports.py
+++ b/packages/gateway/plantainshed_gateway/selection/load_reports.py
@@ -51,7 +51,8 @@
     objects : dict of str to float
         Requests per second for the most requested objects, by object key.
     runs : dict of str to (float, float)
-        Answers per second, and first runs per second among them, by pool.
+        Runs per second, and first runs per second among them, by pool and whether they
+        were at first owners; see `expected_time.runs_key`.
     """
 
     targets: dict[str, float] = field(factory=dict)
@@ -81,7 +82,7 @@
 
 
 @define
-class _Rate:
+class Rate:
     """Events per second, averaged exponentially."""
 
     rate: float = 0.0
@@ -102,9 +103,9 @@
 
     def __init__(self):
         self._in_flight: dict[str, _Average] = {}
-        self._offered: dict[tuple[str, int], _Rate] = {}
-        self._objects: dict[str, _Rate] = {}
-        self._runs: dict[tuple[str, bool], _Rate] = {}
+        self._offered: dict[tuple[str, int], Rate] = {}
+        self._objects: dict[str, Rate] = {}
+        self._runs: dict[tuple[str, bool], Rate] = {}
 
     def note_in_flight(self, instance: str, in_flight: int):
         """Record how many requests of this VM a target has from now on."""
@@ -115,16 +116,23 @@
 
     def note_offered(self, pool: str, priority: int, object_key: str | None):
         """Record a request of a caller, whether it is admitted or not."""
-        self._offered.setdefault((pool, priority), _Rate()).add()
+        self._offered.setdefault((pool, priority), Rate()).add()
         if object_key is None:
             return
         if len(self._objects) >= MAX_MEASURED_OBJECTS:
             self._drop_rare_objects()
-        self._objects.setdefault(object_key, _Rate()).add()
+        self._objects.setdefault(object_key, Rate()).add()
 
-    def note_run(self, pool: str, is_first: bool):
-        """Record a run, and whether it was the first for its object at its target."""
-        self._runs.setdefault((pool, is_first), _Rate()).add()
+    def note_run(self, key: str, is_first: bool):
+        """Record a run, and whether it was the first for its object at its target.
+
+        Parameters
+        ----------
+        key : str
+            What the share of first runs is kept for; see `expected_time.runs_key`.
+        is_first : bool
+        """
+        self._runs.setdefault((key, is_first), Rate()).add()
 
     def report(self) -> LoadReport:
         """Return this VM's load at present."""
@@ -147,16 +155,33 @@
             runs=self._run_rates(),
         )
 
+    def offered_rates(self, pool: str) -> dict[int, float]:
+        """Return the requests per second of this VM's callers, by priority."""
+        return {
+            priority: rate.current()
+            for (name, priority), rate in self._offered.items()
+            if name == pool
+        }
+
+    def object_rate(self, object_key: str) -> float:
+        """Return the requests per second of this VM's callers for an object."""
+        rate = self._objects.get(object_key)
+        return rate.current() if rate else 0.0
+
+    def run_rates(self, key: str) -> tuple[float, float]:
+        """Return this VM's runs per second and the first runs among them."""
+        first_runs = self._current_runs(key, True)
+        return self._current_runs(key, False) + first_runs, first_runs
+
+    def _current_runs(self, key: str, is_first: bool) -> float:
+        rate = self._runs.get((key, is_first))
+        return rate.current() if rate else 0.0
+
     def _run_rates(self) -> dict[str, tuple[float, float]]:
-        rates: dict[str, list[float]] = {}
-        for (pool, is_first), rate in self._runs.items():
-            totals = rates.setdefault(pool, [0.0, 0.0])
-            totals[0] += rate.current()
-            if is_first:
-                totals[1] += rate.rate
+        rates = {key: self.run_rates(key) for key, _ in self._runs}
         return {
-            pool: (round(all_runs, 2), round(first_runs, 2))
-            for pool, (all_runs, first_runs) in rates.items()
+            key: (round(all_runs, 2), round(first_runs, 2))
+            for key, (all_runs, first_runs) in rates.items()
             if all_runs >= MIN_RATE
         }
 
@@ -229,6 +254,29 @@
             total.runs,
         )
 
+    @property
+    def is_known(self) -> bool:
+        """Whether reports of other VMs count."""
+        now = trio.current_time()
+        return any(
+            now - received.measured_at < MAX_AGE_S
+            for received in self._received.values()
+        )
+
+    def offered(self, pool: str) -> dict[int, float]:
+        """Return the requests per second that all callers ask a pool for.
+
+        The keys are priorities.
+        """
+        total = dict(self.of_others().offered.get(pool, {}))
+        _add(total, self.own.offered_rates(pool))
+        return total
+
+    def object_rate(self, object_key: str) -> float:
+        """Return the requests per second of all callers for an object."""
+        others = self.of_others().objects.get(object_key, 0.0)
+        return others + self.own.object_rate(object_key)
+
     def in_flight_of_others(self, instance: str) -> float:
         """Return the mean number of requests of other VMs at a target."""
         return self.of_others().targets.get(instance, 0.0)
--- a/packages/gateway/plantainshed_gateway/selection/placement.py
+++ b/packages/gateway/plantainshed_gateway/selection/placement.py
@@ -27,11 +27,13 @@
 from plantainshed_coordination.digests import unit_hash, weighted_score
 
 from ..call import Call
-from ..model import Configuration, Route
+from ..model import Configuration, Pool, Route
+from .choice import LoadAwareChoice
 from .cold import ColdTargets
 from .queueing import QueueLimits
 from .registry import Registry, TargetState, usable_among
 from .round_trips import RoundTrips
+from .shedding import Shedding
 from .target_limits import TargetLimits
 
 # Requests per slot, running and waiting, above which an object's first owner is
@@ -46,7 +48,7 @@
 NEAR_ROUND_TRIP_RATIO = 0.11
 # Number of targets of the whole fleet in an object's ranking. It is larger than the
 # number of owners, so owners can be found when some targets are ejected.
-MAX_RANKED_TARGETS = 6
+MAX_RANKED_TARGETS = 24
 MAX_CACHED_RANKINGS = 20_000
 
 
@@ -89,6 +91,10 @@
     queues : QueueLimits
     connections : IdleConnections
     round_trips : RoundTrips
+    load_choice : LoadAwareChoice, optional
+        Used while other VMs report their load.
+    shedding : Shedding, optional
+        Used together with `load_choice`.
     """
 
     def __init__(
@@ -100,6 +106,8 @@
         queues: QueueLimits,
         connections: IdleConnections,
         round_trips: RoundTrips,
+        load_choice: LoadAwareChoice | None = None,
+        shedding: Shedding | None = None,
     ):
         self.region = region
         self.registry = registry
@@ -108,6 +116,8 @@
         self.queues = queues
         self.connections = connections
         self.round_trips = round_trips
+        self.load_choice = load_choice
+        self.shedding = shedding
         self.random = random.Random()
         self._cache: dict[tuple, _CachedRanking] = {}
         self._far_routes: set[str] = set()
@@ -131,8 +141,23 @@
             Names of the VMs that accept callers' requests.
         """
         pool = configuration.pools[call.pool]
+        call.owner_rank = None
+        if self._is_chosen_by_load(call):
+            return self._choose_by_load(call, pool, excluded, vms)
         candidates = self._candidates(call)
-        for state in [*candidates.restricted, *candidates.owners]:
+        return self._first_admitting(
+            [*candidates.restricted, *candidates.owners], call, pool, excluded, vms
+        )
+
+    def _first_admitting(
+        self,
+        states: list[TargetState],
+        call: Call,
+        pool: Pool,
+        excluded: set[str],
+        vms: list[str],
+    ) -> TargetState | None:
+        for state in states:
             if state.entry.instance in excluded or not self.queues.can_answer_in_time(
                 call, state
             ):
@@ -141,6 +166,67 @@
                 return state
         return None
 
+    def _is_chosen_by_load(self, call: Call) -> bool:
+        if self.load_choice is None or not self.load_choice.fleet_load.is_known:
+            return False
+        return call.object_key is None or not self._is_far(call.route)
+
+    def _choose_by_load(
+        self, call: Call, pool: Pool, excluded: set[str], vms: list[str]
+    ) -> TargetState | None:
+        """Choose by the load that all VMs report; see `choice` and `shedding`."""
+        eligible = self.registry.eligible(call.pool, call.home_regions)
+        usable = usable_among(eligible)
+        room = self.shedding.room_of(call.pool, call.home_regions, usable)
+        # A retry was admitted before, and a target may have spent time on it.
+        if not call.attempts and not self.shedding.admits(
+            room, call.pool, call.priority, call.workspace_name
+        ):
+            return None
+        untried = [s for s in usable if s.entry.instance not in excluded]
+        candidates = self._owners_by_load(call, eligible, untried)
+        restricted = self._first_admitting(
+            candidates.restricted, call, pool, excluded, vms
+        )
+        if restricted is not None:
+            return restricted
+        owned = set(candidates.owners)
+        others = [s for s in untried if s not in owned and not s.is_restricted]
+        chosen = self.load_choice.choose(call, candidates.owners, others, room)
+        if chosen is None:
+            return None
+        call.owner_rank = chosen.rank
+        return chosen.state
+
+    def _owners_by_load(
+        self, call: Call, eligible: list[TargetState], usable: list[TargetState]
+    ) -> _Candidates:
+        if call.object_key is None:
+            restricted = [s for s in usable if s.is_restricted]
+            return _Candidates(restricted if len(restricted) == len(usable) else [])
+        slots = usable[0].entry.slots if usable else 1
+        count = self.load_choice.owner_count(call, call.object_key, slots)
+        among = set(usable)
+        ranking = [s for s in self._ranked_by_object(call, eligible) if s in among]
+        if not any(not state.is_restricted for state in ranking):
+            ranking = _ranked(call.object_key, usable)
+        return _select_candidates(ranking, count)
+
+    def note_answer(self, call: Call, state: TargetState, seconds: float):
+        """Record the duration of an attempt that a target answered."""
+        self.queues.note_answer(state, seconds)
+        if self.load_choice is not None:
+            self.load_choice.note_answer(call, state, seconds)
+
+    def retry_after_s(self, call: Call) -> float:
+        """Return when the caller of a request without a target should come back.
+
+        0 if this VM has no advice.
+        """
+        if not self._is_chosen_by_load(call):
+            return 0.0
+        return self.shedding.retry_after_s(call.seconds_left)
+
     def limited(self, call: Call, excluded: set[str]) -> list[TargetState]:
         """Return targets that name a limit and could answer a request in time.
 
@@ -177,7 +263,7 @@
     def _candidates(self, call: Call) -> _Candidates:
         eligible = self.registry.eligible(call.pool, call.home_regions)
         usable = usable_among(eligible)
-        if not call.route.is_sticky or call.request.affinity is None:
+        if call.object_key is None:
             return _select_candidates(self._sorted_by_load(usable), OWNERS_PER_OBJECT)
         # Rankings are cached, so they contain all eligible targets. Ejections are too
         # short to move objects for longer than they last.
@@ -187,7 +273,7 @@
             candidates = self._fleet_owners(call, eligible, set(usable))
         if candidates.owners or candidates.restricted:
             return candidates
-        return _select_candidates(_ranked(_object_key(call), usable), OWNERS_PER_OBJECT)
+        return _select_candidates(_ranked(call.object_key, usable), OWNERS_PER_OBJECT)
 
     def _fleet_owners(
         self, call: Call, eligible: list[TargetState], usable: set[TargetState]
@@ -278,7 +364,7 @@
         rank : callable
             Computes the ranking from the object's key.
         """
-        object_key = _object_key(call)
+        object_key = call.object_key
         cache_key = (object_key, kind, call.pool, call.home_regions)
         cached = self._cache.get(cache_key)
         # The weights of new targets ramp up in steps of one second. When no ramp is
@@ -300,10 +386,6 @@
         return ranking
 
 
-def _object_key(call: Call) -> str:
-    return f"{call.route.name}/{call.request.affinity}"
-
-
 def _ranked(object_key: str, states: list[TargetState]) -> list[TargetState]:
     return sorted(
         states,
--- /dev/null
+++ b/packages/gateway/plantainshed_gateway/selection/shedding.py
@@ -0,0 +1,222 @@
+"""Which requests are refused while a pool has too few slots.
+
+This answers the load of callers who ask for more than all targets of a pool can run. If
+every request waited, all would be answered late, although the targets run no more than
+before. So each VM refuses, at once, the part of the requests that the pool can't run:
+
+- The room goes to the most urgent requests first. Less urgent ones share what is left.
+- A less urgent request keeps a small part of the chances of all, so nobody starves.
+- Within a priority, a workspace that asks for more than its fair share of the room is
+  refused first, so one large workspace can't take the room of all.
+
+All VMs compute with the sums of all reports, so each refuses about the same part, and
+nothing is negotiated. A VM that hears no others knows only its own requests and refuses
+too few; the wait that is expected at each target then bounds what it sends. What
+workspaces ask for is only counted on each VM: callers use VMs at random, so a workspace
+that asks for a large part of the room does so on every VM.
+"""
+
+import random
+
+import trio
+from attrs import define, field
+
+from .expected_time import ExpectedTimes, first_run_share_of
+from .load_reports import FleetLoad, Rate
+from .registry import Registry, TargetState
+from .run_times import RunTimes
+
+# Requests in flight per slot above which a pool may be short of room. Below, waits are
+# short whatever was offered.
+SHORT_OCCUPANCY = 0.85
+# Part of the slots that can be kept busy without long waits.
+USABLE_FRACTION = 0.95
+# Smallest chance of a request, as a part of that of all requests of its pool.
+MIN_CHANCE = 0.3
+# Number of workspaces of a pool above which those that ask for nothing are forgotten,
+# and the requests per second below which that is the case.
+MAX_WORKSPACES = 500
+MIN_RATE = 0.01
+# Time for which the state of a pool is reused.
+CACHE_S = 0.2
+# Range of retry-after. The first is when a queue has advanced. Callers that come back
+# spread over the range meet slots that become free one after the other.
+MIN_RETRY_AFTER_S = 0.4
+MAX_RETRY_AFTER_S = 1.5
+# Part of the time left that callers are prepared to wait.
+MAX_RETRY_AFTER_FRACTION = 1 / 3
+
+
+@define
+class PoolRoom:
+    """State of a pool.
+
+    Attributes
+    ----------
+    occupancy : float
+        Requests in flight per slot.
+    chance : float
+        Part of all offered requests that the pool can run.
+    by_priority : dict of int to float
+        Chance of a request to be admitted, by priority.
+    computed_at : float
+    """
+
+    occupancy: float = 0.0
+    chance: float = 1.0
+    by_priority: dict[int, float] = field(factory=dict)
+    computed_at: float = float("-inf")
+
+    @property
+    def is_short(self) -> bool:
+        """Whether more was offered than the pool can run."""
+        return self.chance < 1.0
+
+
+class Shedding:
+    """Decides whether a request may use a pool.
+
+    Parameters
+    ----------
+    fleet_load : FleetLoad
+    expected_times : ExpectedTimes
+    run_times : RunTimes
+    registry : Registry
+    """
+
+    def __init__(
+        self,
+        fleet_load: FleetLoad,
+        expected_times: ExpectedTimes,
+        run_times: RunTimes,
+        registry: Registry,
+    ):
+        self.fleet_load = fleet_load
+        self.expected_times = expected_times
+        self.run_times = run_times
+        self.registry = registry
+        self.random = random.Random()
+        self._rooms: dict[tuple, PoolRoom] = {}
+        self._by_workspace: dict[tuple[str, int], dict[str | None, Rate]] = {}
+
+    def room_of(
+        self, pool: str, home_regions: frozenset[str], usable: list[TargetState]
+    ) -> PoolRoom:
+        """Return the state of a pool, or of its part in some regions.
+
+        Parameters
+        ----------
+        pool : str
+        home_regions : frozenset of str
+        usable : list of TargetState
+            Targets of the pool in these regions.
+        """
+        key = pool, home_regions
+        room = self._rooms.get(key)
+        if room is None or trio.current_time() - room.computed_at >= CACHE_S:
+            room = self._rooms[key] = self._compute(pool, home_regions, usable)
+        return room
+
+    def _compute(
+        self, pool: str, home_regions: frozenset[str], usable: list[TargetState]
+    ) -> PoolRoom:
+        room = PoolRoom(computed_at=trio.current_time())
+        slots = sum(state.entry.slots for state in usable)
+        run_time = self.run_times.of(pool)
+        if not slots or run_time is None:
+            return room
+        in_flight = sum(self.expected_times.load_of(state) for state in usable)
+        room.occupancy = in_flight / slots
+        if room.occupancy < SHORT_OCCUPANCY or home_regions:
+            # What is offered is not known by region; the wait expected at each target
+            # bounds what goes to a part of a pool.
+            return room
+        run_s = run_time.expected_s(first_run_share_of(self.fleet_load, pool, 0))
+        capacity = USABLE_FRACTION * slots / run_s
+        offered = self.fleet_load.offered(pool)
+        total = sum(offered.values())
+        if total > capacity:
+            room.chance = capacity / total
+            room.by_priority = chances(offered, capacity)
+        return room
+
+    def admits(
+        self, room: PoolRoom, pool: str, priority: int, workspace: str | None
+    ) -> bool:
+        """Return whether a request may use a pool now, and count the request.
+
+        Parameters
+        ----------
+        room : PoolRoom
+        pool : str
+        priority : int
+        workspace : str or None
+        """
+        rates = self._by_workspace.setdefault((pool, priority), {})
+        rates.setdefault(workspace, Rate()).add()
+        if not room.is_short:
+            return True
+        of_priority = room.by_priority.get(priority, room.chance)
+        demand = {name: rate.current() for name, rate in rates.items()}
+        if len(rates) > MAX_WORKSPACES:
+            self._by_workspace[pool, priority] = {
+                name: rate for name, rate in rates.items() if rate.rate > MIN_RATE
+            }
+        chance = fair_chance(demand, of_priority, workspace)
+        return self.random.random() < max(chance, MIN_CHANCE * room.chance)
+
+    def retry_after_s(self, seconds_left: float) -> float:
+        """Return when a refused caller should come back.
+
+        Parameters
+        ----------
+        seconds_left : float
+            Time until the caller's deadline.
+        """
+        latest_s = min(MAX_RETRY_AFTER_S, seconds_left * MAX_RETRY_AFTER_FRACTION)
+        return self.random.uniform(MIN_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, latest_s))
+
+
+def chances(offered: dict[int, float], capacity: float) -> dict[int, float]:
+    """Return which part of each priority's requests a capacity can run.
+
+    Parameters
+    ----------
+    offered : dict of int to float
+        Requests per second by priority; 0 is the most urgent.
+    capacity : float
+        Requests per second.
+    """
+    least = MIN_CHANCE * min(1.0, capacity / max(sum(offered.values()), 1e-9))
+    reserved = least * sum(offered.values())
+    left = max(0.0, capacity - reserved)
+    result = {}
+    for priority in sorted(offered):
+        wanted = offered[priority] * (1.0 - least)
+        given = min(left, wanted)
+        left -= given
+        result[priority] = least + given / max(offered[priority], 1e-9)
+    return result
+
+
+def fair_chance(
+    demand: dict[str | None, float], chance: float, workspace: str | None
+) -> float:
+    """Return a workspace's chance if all get at most the same, as far as they ask.
+
+    Parameters
+    ----------
+    demand : dict of str or None to float
+        Requests per second by workspace.
+    chance : float
+        Part of the requests of all workspaces together that can be admitted.
+    workspace : str or None
+    """
+    left = chance * sum(demand.values())
+    waiting = len(demand)
+    for wanted in sorted(demand.values()):
+        if wanted * waiting >= left:
+            return min(1.0, left / waiting / max(demand[workspace], 1e-9))
+        left -= wanted
+        waiting -= 1
+    return 1.0
--- a/packages/gateway/plantainshed_gateway/serving.py
+++ b/packages/gateway/plantainshed_gateway/serving.py
@@ -36,7 +36,6 @@
 from .relaying import Relaying
 from .retry_budget import RetryBudgets
 from .selection.placement import Placement
-from .selection.queueing import QueueLimits
 from .selection.registry import TargetState
 
 # Attempts allowed beyond the route's limit while no target has run the request.
@@ -94,7 +93,6 @@
         retries: RetryBudgets,
         members: Members,
         poison: PoisonTracker,
-        queues: QueueLimits,
         reach_prober: ReachProber,
         relaying: Relaying,
     ):
@@ -109,7 +107,6 @@
         self.retries = retries
         self.members = members
         self.poison = poison
-        self.queues = queues
         self.reach_prober = reach_prober
         self.reach = reach_prober.reach
         self.relaying = relaying
@@ -292,7 +289,10 @@
                 call,
                 Reason.NO_ROOM,
                 f"no target of {call.pool} can answer in time",
-                self.registry.wanted_after_s(call.pool, call.home_regions),
+                max(
+                    self.registry.wanted_after_s(call.pool, call.home_regions),
+                    self.placement.retry_after_s(call),
+                ),
             )
         return state
 
@@ -370,7 +370,7 @@
         else:
             state.note_success()
         self.poison.note_answered(call.fingerprint)
-        self.queues.note_answer(state, took_s)
+        self.placement.note_answer(call, state, took_s)
         self.metrics.attempt_latency.observe({"pool": call.pool}, took_s)
         self._log(call, answer.head.status, None, attempt_s=round(took_s, 4))
         return None
