--- a/packages/gateway/plantainshed_gateway/selection/load_reports.py
+++ b/packages/gateway/plantainshed_gateway/selection/load_reports.py
@@ -89,9 +89,11 @@
     updated_at: float = field(factory=trio.current_time)
 
     def add(self, count: float = 1.0):
+        """Count events."""
         self.rate = self.current() + count / RATE_AVERAGING_S
 
     def current(self) -> float:
+        """Return the present rate."""
         now = trio.current_time()
         self.rate *= math.exp((self.updated_at - now) / RATE_AVERAGING_S)
         self.updated_at = now
