Describe difficult loads in experiment files

Experiments knew only an even load. An experiment file can now give the load as a fraction of the room for warm or cold runs, a rise, uneven popularity of objects, waves of the regions' demand, callers by region, priorities and workspaces. The model has failure domains, a spread of run times and targets whose speed changes.

--- a/packages/measure/plantainshed_measure/experiment.py
+++ b/packages/measure/plantainshed_measure/experiment.py
@@ -5,7 +5,6 @@
 spread between the seeds of the share of requests that are answered in time.
 """
 
-import configparser
 import itertools
 import json
 from concurrent.futures import ProcessPoolExecutor
@@ -13,45 +12,40 @@
 from statistics import fmean
 
 import fire
-from attrs import frozen
+from attrs import evolve, frozen
 
-from plantainshed_gateway.durations import parse_duration
 from plantainshed_standins.memory_network import run_deterministically
 
-from .placing_model import ModelFleet, World
+from .experiment_file import Experiment, read_experiment
+from .placing_demand import Popularity
+from .placing_model import ModelFleet
 from .placing_policies import policies
+from .placing_tally import Tally
 
 DEFAULT_FILE = "examples/experiments/far-regions.ini"
-COLUMNS = ("in_time", "spread", "refused", "crossed", "first_runs", "opened", "mean_ms")
-
-
-class BadExperiment(ValueError):
-    """The experiment file is invalid; the message names the option."""
+COLUMNS = (
+    "in_time",
+    "spread",
+    "late",
+    "refused",
+    "crossed",
+    "first_runs",
+    "opened",
+    "mean_ms",
+)
+# Columns of figures that only some experiments have.
+OPTIONAL_COLUMNS = ("in_time_priority", "refused_priority", "worst_workspace")
 
 
 @frozen
-class Experiment:
-    """The combinations to compare.
-
-    Parameters
-    ----------
-    policies : list of str
-    round_trips_s : list of float
-        Round-trip times between regions.
-    loads : list of float
-        Requests per second.
-    seeds : list of int
-    seconds : float
-        Length of a simulation.
-    world : World
-    """
+class Combination:
+    """One setting of all options of which an experiment lists several."""
 
-    policies: list[str]
-    round_trips_s: list[float]
-    loads: list[float]
-    seeds: list[int]
-    seconds: float
-    world: World
+    vms: int
+    round_trip_s: float
+    popularity: Popularity
+    load: float
+    policy: str
 
 
 def compare(file: str = DEFAULT_FILE, jobs: int = 3, as_json: bool = False):
@@ -73,88 +67,80 @@
         _print_table(rows)
 
 
-def read_experiment(path: Path) -> Experiment:
-    """Read and validate an experiment file; raise `BadExperiment` if it is invalid."""
-    parser = configparser.ConfigParser(interpolation=None)
-    try:
-        parser.read_string(path.read_text(encoding="utf-8"))
-        section, world = parser["experiment"], parser["world"]
-        experiment = Experiment(
-            policies=_list(section["policies"]),
-            round_trips_s=[parse_duration(x) for x in _list(section["round_trips"])],
-            loads=[float(x) for x in _list(section["loads"])],
-            seeds=[int(x) for x in _list(section["seeds"])],
-            seconds=parse_duration(section["length"]),
-            world=World(
-                targets_per_region=tuple(
-                    int(x) for x in _list(world["targets_per_region"])
-                ),
-                vms_per_region=world.getint("vms_per_region"),
-                slots=world.getint("slots"),
-                queue=world.getint("queue"),
-                remembers=world.getint("remembers"),
-                objects=world.getint("objects"),
-                first_run_s=parse_duration(world["first_run"]),
-                later_run_s=parse_duration(world["later_run"]),
-                objective_s=parse_duration(world["objective"]),
-                timeout_s=parse_duration(world["timeout"]),
-            ),
-        )
-    except (OSError, configparser.Error, KeyError, ValueError, TypeError) as error:
-        raise BadExperiment(f"{path}: {error}") from error
-    unknown = set(experiment.policies) - policies().keys()
-    if unknown:
-        raise BadExperiment(f"{path}: unknown policy: {', '.join(sorted(unknown))}")
-    return experiment
-
-
-def _list(text: str) -> list[str]:
-    return [part.strip() for part in text.split(",") if part.strip()]
-
-
 def simulate_all(experiment: Experiment, jobs: int) -> list[dict]:
     """Simulate all combinations and return a row of figures for each."""
-    combinations = list(
-        itertools.product(
-            experiment.round_trips_s, experiment.loads, experiment.policies
-        )
-    )
+    all_combinations = combinations(experiment)
     with ProcessPoolExecutor(jobs) as pool:
         simulations = [
-            [pool.submit(simulate, experiment, *one, seed) for seed in experiment.seeds]
-            for one in combinations
+            [pool.submit(simulate, experiment, one, seed) for seed in experiment.seeds]
+            for one in all_combinations
+        ]
+        figures = [
+            [future.result().figures() for future in futures] for futures in simulations
         ]
-        figures = [[future.result() for future in futures] for futures in simulations]
     return [
         _row(combination, of_seeds)
-        for combination, of_seeds in zip(combinations, figures, strict=True)
+        for combination, of_seeds in zip(all_combinations, figures, strict=True)
     ]
 
 
-def simulate(
-    experiment: Experiment, round_trip_s: float, load: float, policy: str, seed: int
-) -> dict[str, float]:
-    """Simulate one combination with one seed and return its figures."""
+def combinations(experiment: Experiment) -> list[Combination]:
+    """Return all combinations in the order of the table."""
+    return [
+        Combination(*one)
+        for one in itertools.product(
+            experiment.vms,
+            experiment.round_trips_s,
+            experiment.popularities,
+            experiment.loads,
+            experiment.policies,
+        )
+    ]
+
+
+def simulate(experiment: Experiment, one: Combination, seed: int) -> Tally:
+    """Simulate one combination with one seed and return its outcomes."""
+    world = evolve(experiment.world, vms=one.vms)
+    demand = evolve(
+        experiment.demand,
+        rate_per_s=one.load * experiment.room_per_s,
+        popularity=one.popularity,
+    )
 
     async def run():
-        fleet = ModelFleet(experiment.world, policies()[policy], round_trip_s)
-        await fleet.run(load, experiment.seconds, seed)
-        return fleet.tally.figures()
+        fleet = ModelFleet(world, policies()[one.policy], one.round_trip_s, demand)
+        await fleet.run(experiment.seconds, seed, experiment.count_from_s)
+        return fleet.tally
 
     return run_deterministically(run, seed=seed)
 
 
-def _row(combination: tuple[float, float, str], of_seeds: list[dict]) -> dict:
-    round_trip_s, load, policy = combination
-    means = {name: fmean(one[name] for one in of_seeds) for name in of_seeds[0]}
-    in_time = [one["in_time"] for one in of_seeds]
-    row = {"round_trip_ms": round(1000 * round_trip_s, 1), "load": load}
-    row |= {"policy": policy, "spread": round(max(in_time) - min(in_time), 3)}
-    return row | {name: round(value, 3) for name, value in means.items()}
+def _row(one: Combination, of_seeds: list[dict]) -> dict:
+    in_time = [figures["in_time"] for figures in of_seeds]
+    row = {
+        "vms": one.vms,
+        "round_trip_ms": round(1000 * one.round_trip_s, 1),
+        "popularity": one.popularity.text,
+        "load": one.load,
+        "policy": one.policy,
+        "spread": round(max(in_time) - min(in_time), 3),
+    }
+    # A rare priority may be missing from some of the seeds.
+    names = {name: None for figures in of_seeds for name in figures}
+    return row | {
+        name: round(fmean(f[name] for f in of_seeds if name in f), 3) for name in names
+    }
 
 
 def _print_table(rows: list[dict]):
-    names = ("round_trip_ms", "load", "policy", *COLUMNS)
+    # Options with one value, and figures that don't apply, are left out.
+    names = [
+        name
+        for name in ("vms", "round_trip_ms", "popularity", "load")
+        if name == "load" or len({row[name] for row in rows}) > 1
+    ]
+    names += ["policy", *COLUMNS]
+    names += [name for name in rows[0] if name.startswith(OPTIONAL_COLUMNS)]
     widths = {
         name: max(len(name), *(len(str(row[name])) for row in rows)) for name in names
     }
--- a/packages/measure/plantainshed_measure/placing_model.py
+++ b/packages/measure/plantainshed_measure/placing_model.py
@@ -8,11 +8,12 @@
 
 import io
 import itertools
+import math
 import random
 from collections import OrderedDict
 
 import trio
-from attrs import define, field, frozen
+from attrs import frozen
 
 from plantainshed_gateway.call import Call
 from plantainshed_gateway.connections import TargetConnections
@@ -26,9 +27,11 @@
     RequestKind,
     Route,
     WeightedPool,
+    Workspace,
 )
 from plantainshed_gateway.ports import CallerRequest, TargetEntry, TargetLoad
 from plantainshed_gateway.selection.cold import ColdTargets
+from plantainshed_gateway.selection.load_reports import FleetLoad, LoadTracker
 from plantainshed_gateway.selection.placement import Placement
 from plantainshed_gateway.selection.queueing import QueueLimits
 from plantainshed_gateway.selection.registry import Registry, TargetState
@@ -38,10 +41,18 @@
 from plantainshed_gateway.target_reach import TargetReach
 from plantainshed_http.messages import RequestHead, ResponseHead
 
-from .placing_policies import PlacementPolicy
+from .placing_demand import Arrival, Demand, arrivals
+from .placing_policies import PlacementPolicy, Refusal
+from .placing_tally import Outcome, Tally
 
 POOL = "pool"
 LOCAL_ROUND_TRIP_S = 0.001
+# Round trip between two failure domains of a region.
+NEAR_ROUND_TRIP_S = 0.0028
+# Time after which a refused caller comes back if it was told none.
+DEFAULT_RETRY_AFTER_S = 0.4
+# Callers honour `Retry-After` up to this fraction of their remaining time.
+MAX_RETRY_FRACTION = 1 / 3
 KEEP_ALIVE_RESPONSE = ResponseHead(200, [(b"keep-alive", b"timeout=10")])
 BOUNDS = Bounds(
     stop_within_s=6.0,
@@ -58,6 +69,25 @@
 )
 
 
+@frozen
+class Noise:
+    """Changes of a target's speed.
+
+    Parameters
+    ----------
+    share : float
+        Fraction of the time for which a target is slower.
+    factor : float
+        Ratio of the duration of work on a slower target to the usual one.
+    every_s : float
+        Time after which it is drawn again whether the target is slower.
+    """
+
+    share: float = 0.0
+    factor: float = 1.0
+    every_s: float = 1.0
+
+
 @frozen
 class World:
     """The parameters of the simulated environment.
@@ -65,49 +95,113 @@
     Parameters
     ----------
     targets_per_region : tuple of int
-    vms_per_region : int
+    vms : int
+        Number of VMs, spread over the regions as evenly as possible.
+    domains_per_region : int
+        Failure domains. The targets and VMs of a region are spread over them.
     slots : int
         Requests that a target runs concurrently.
     queue : int
         Requests that can wait at a target.
     remembers : int
         Objects that a target remembers; it forgets the least recently used one first.
-    objects : int
-        Distinct objects that callers request.
     first_run_s, later_run_s : float
-        Duration of a request for an object that the target does not remember, and for
-        one that it remembers.
+        Mean duration of a request for an object that the target does not remember, and
+        for one that it remembers.
+    spread : float
+        Standard deviation of the durations, as a fraction of the mean. They have a
+        log-normal distribution.
+    noise : Noise
     objective_s : float
         Time within which callers expect an answer.
     timeout_s : float
-        Longest time that callers wait for an answer.
+        Longest time that callers wait for an answer. Targets complete requests that
+        take longer.
+    has_reports : bool
+        Whether VMs exchange load reports.
     """
 
     targets_per_region: tuple[int, ...] = (2, 4, 6)
-    vms_per_region: int = 3
+    vms: int = 9
+    domains_per_region: int = 1
     slots: int = 3
     queue: int = 9
     remembers: int = 25
-    objects: int = 24
     first_run_s: float = 0.48
     later_run_s: float = 0.144
+    spread: float = 0.0
+    noise: Noise = Noise()
     objective_s: float = 0.4
     timeout_s: float = 1.2
+    has_reports: bool = True
 
     @property
     def regions(self) -> list[str]:
-        """Names of the regions; each has one failure domain of the same name."""
+        """Names of the regions."""
         return [f"region-{n}" for n in range(len(self.targets_per_region))]
 
+    @property
+    def region_of(self) -> dict[str, str]:
+        """Region of each failure domain."""
+        return {
+            self.domain(region, number): region
+            for region in self.regions
+            for number in range(self.domains_per_region)
+        }
+
+    def domain(self, region: str, number: int) -> str:
+        """Return the failure domain of a region's n-th VM or target.
+
+        A region's only failure domain has the name of the region.
+        """
+        if self.domains_per_region == 1:
+            return region
+        return f"{region}-domain-{number % self.domains_per_region}"
+
+    @property
+    def warm_room_per_s(self) -> float:
+        """Requests per second that all slots can run if no run is a first one."""
+        return sum(self.targets_per_region) * self.slots / self.later_run_s
+
+    @property
+    def cold_room_per_s(self) -> float:
+        """Requests per second that all slots can run if every run is a first one."""
+        return sum(self.targets_per_region) * self.slots / self.first_run_s
+
 
 class ModelTarget:
-    """A target that runs requests in slots, queues some, and remembers objects."""
+    """A target that runs requests in slots, queues some, and remembers objects.
 
-    def __init__(self, world: World, region: str):
+    Attributes
+    ----------
+    slots : trio.CapacityLimiter
+    remembered : OrderedDict
+        Names of objects, the least recently used one first.
+    pending : dict of int to str
+        Objects of the requests that are on their way or wait, in the order of their
+        choice, by the number of the request.
+    ends_at : dict of int to float
+        When the running requests will end, by the number of the request.
+    """
+
+    def __init__(self, world: World, entry: TargetEntry):
         self.world = world
-        self.region = region
+        self.instance = entry.instance
+        self.failure_domain = entry.failure_domain
+        self.region = world.region_of[entry.failure_domain]
         self.slots = trio.CapacityLimiter(world.slots)
         self.remembered: OrderedDict[str, None] = OrderedDict()
+        self.pending: dict[int, str] = {}
+        self.ends_at: dict[int, float] = {}
+        self.began_at = trio.current_time()
+        self.seed(0)
+
+    def seed(self, seed: int):
+        """Seed the durations of runs and the changes of speed."""
+        # The sequences are independent, so that speeds don't depend on the requests.
+        self._runs = random.Random(f"{seed} runs {self.instance}")
+        self._speeds = random.Random(f"{seed} speeds {self.instance}")
+        self._is_slow: list[bool] = []
 
     @property
     def load(self) -> TargetLoad:
@@ -122,18 +216,55 @@
         """Whether the queue is full, so that the target rejects requests."""
         return self.load.waiting >= self.world.queue
 
-    async def run(self, name: str) -> bool:
+    def slowdown_at(self, at: float) -> float:
+        """Return how long work takes at a time, as a multiple of the usual."""
+        noise = self.world.noise
+        if not noise.share:
+            return 1.0
+        index = int((at - self.began_at) / noise.every_s)
+        while len(self._is_slow) <= index:
+            self._is_slow.append(self._speeds.random() < noise.share)
+        return noise.factor if self._is_slow[index] else 1.0
+
+    async def run(self, number: int, name: str) -> bool:
         """Run a request for an object; return whether the object was not remembered."""
         async with self.slots:
+            self.pending.pop(number, None)
             is_first = name not in self.remembered
             self.remembered[name] = None
             self.remembered.move_to_end(name)
             if len(self.remembered) > self.world.remembers:
                 self.remembered.popitem(last=False)
             world = self.world
-            await trio.sleep(world.first_run_s if is_first else world.later_run_s)
+            work_s = world.first_run_s if is_first else world.later_run_s
+            ends_at = self._end_of(work_s * self._spread())
+            self.ends_at[number] = ends_at
+            await trio.sleep_until(ends_at)
+            del self.ends_at[number]
         return is_first
 
+    def _spread(self) -> float:
+        spread = self.world.spread
+        if not spread:
+            return 1.0
+        variance = math.log(1 + spread**2)
+        return self._runs.lognormvariate(-variance / 2, math.sqrt(variance))
+
+    def _end_of(self, work_s: float) -> float:
+        """Return when work that begins now ends, at the speeds until then."""
+        now, every_s = trio.current_time(), self.world.noise.every_s
+        if not self.world.noise.share:
+            return now + work_s
+        while True:
+            slowdown = self.slowdown_at(now)
+            intervals = int((now - self.began_at) / every_s) + 1
+            # A tiny step past the boundary, which rounding could otherwise repeat.
+            changes_at = self.began_at + intervals * every_s + 1e-9
+            if now + work_s * slowdown <= changes_at:
+                return now + work_s * slowdown
+            work_s -= (changes_at - now) / slowdown
+            now = changes_at
+
 
 class ModelConnection:
     """A connection that transfers no data."""
@@ -148,68 +279,39 @@
         """Do nothing; there is no socket."""
 
 
-@define
-class Tally:
-    """Counts the outcomes of the callers' requests.
+class ModelVm:
+    """The parts of a VM that place requests.
 
     Attributes
     ----------
-    sent, in_time, refused : int
-        All requests, those answered within the objective, and those refused.
-    crossed : int
-        Requests that ran in another region.
-    first_runs : int
-        Requests for an object that the target did not remember.
-    opened : int
-        Connections that were opened.
-    took_s : list of float
-        Response times of answered requests.
+    tracker : LoadTracker
+    load : FleetLoad
     """
 
-    sent: int = 0
-    in_time: int = 0
-    refused: int = 0
-    crossed: int = 0
-    first_runs: int = 0
-    opened: int = 0
-    took_s: list[float] = field(factory=list)
-
-    def figures(self) -> dict[str, float]:
-        """Return the counts as shares of all requests, and the mean response time."""
-        sent = max(1, self.sent)
-        return {
-            "in_time": self.in_time / sent,
-            "refused": self.refused / sent,
-            "crossed": self.crossed / sent,
-            "first_runs": self.first_runs / sent,
-            "opened": self.opened / sent,
-            "mean_ms": 1000 * sum(self.took_s) / max(1, len(self.took_s)),
-        }
-
-
-class ModelVm:
-    """The parts of a VM that place requests."""
-
-    def __init__(self, fleet: "ModelFleet", region: str, name: str):
+    def __init__(self, fleet: "ModelFleet", failure_domain: str, name: str):
         world = fleet.world
         self.fleet = fleet
-        self.region = region
-        self.registry = Registry({region: region for region in world.regions})
+        self.name = name
+        self.failure_domain = failure_domain
+        self.region = world.region_of[failure_domain]
+        self.registry = Registry(world.region_of)
         self.registry.update_configuration(fleet.configuration)
         self.registry.update_entries(fleet.entries, may_have_expired=False)
-        log = DecisionLog(name, region, io.StringIO())
-        own = Heartbeat(name, region, region, 1, 1, VmState.READY, "", "")
+        log = DecisionLog(name, failure_domain, io.StringIO())
+        own = Heartbeat(name, failure_domain, self.region, 1, 1, VmState.READY, "", "")
+        self.tracker = LoadTracker()
+        self.load = FleetLoad(self.tracker)
         self.round_trips = RoundTrips(self.registry.region_of, log)
-        for other in world.regions:
-            self.round_trips.record(other, fleet.round_trip_s(region, other))
+        for other in world.region_of:
+            self.round_trips.record(other, fleet.round_trip_s(failure_domain, other))
         self.connections = TargetConnections(
             self.round_trips,
-            TargetReach(self.registry, region, region),
+            TargetReach(self.registry, self.region, failure_domain),
             self._connect,
         )
         self.queues = QueueLimits(self.round_trips)
         self.placement = Placement(
-            region,
+            self.region,
             self.registry,
             ColdTargets(BOUNDS, name),
             TargetLimits(self.registry, Members(own), log),
@@ -221,43 +323,49 @@
     async def _connect(self, address: str, timeout_s: float) -> ModelConnection:
         target = self.fleet.targets[address]
         self.fleet.tally.opened += 1
-        await trio.sleep(self.fleet.round_trip_s(self.region, target.region))
+        await trio.sleep(self._round_trip_s(target))
         return ModelConnection()
 
+    def _round_trip_s(self, target: ModelTarget) -> float:
+        return self.fleet.round_trip_s(self.failure_domain, target.failure_domain)
+
     def states(self) -> list[TargetState]:
         """Return all targets as this VM sees them."""
         return list(self.registry.states.values())
 
-    async def request(self, name: str):
-        """Serve a request for an object."""
-        tally, began_at = self.fleet.tally, trio.current_time()
-        tally.sent += 1
-        call = self.fleet.make_call(name)
-        state = self.fleet.policy.choose(self, call)
-        if state is None or self.fleet.targets[state.entry.address].is_full:
-            tally.refused += 1
-            return
-        await self._attempt(state, name)
-        took_s = trio.current_time() - began_at
-        tally.took_s.append(took_s)
-        tally.in_time += took_s <= self.fleet.world.objective_s
-
-    async def _attempt(self, state: TargetState, name: str):
-        tally, began_at = self.fleet.tally, trio.current_time()
+    async def request(self, call: Call, outcome: Outcome) -> Refusal | None:
+        """Serve a request; return a refusal if it does not run."""
+        key = f"{call.route.name}/{call.request.affinity}"
+        self.tracker.note_offered(call.pool, outcome.priority, key)
+        chosen = self.fleet.policy.choose(self, call) or Refusal()
+        if isinstance(chosen, Refusal):
+            return chosen
+        if self.fleet.targets[chosen.entry.address].is_full:
+            return Refusal()
+        await self._attempt(chosen, call, outcome)
+        return None
+
+    async def _attempt(self, state: TargetState, call: Call, outcome: Outcome):
+        began_at = trio.current_time()
         target = self.fleet.targets[state.entry.address]
-        one_way_s = self.fleet.round_trip_s(self.region, target.region) / 2
-        state.in_flight += 1
+        one_way_s = self._round_trip_s(target) / 2
+        number, name = int(call.request.request_id), call.request.affinity
+        target.pending[number] = name
+        self._change_in_flight(state, 1)
         connection = await self.connections.acquire(state, is_idempotent=False)
         await trio.sleep(one_way_s)
-        is_first = await target.run(name)
+        outcome.is_first_run = await target.run(number, name)
+        outcome.is_crossed = target.region != self.region
         load = target.load
         await trio.sleep(one_way_s)
         state.note_load(load)
-        state.in_flight -= 1
+        self._change_in_flight(state, -1)
         self.connections.release(state, connection, KEEP_ALIVE_RESPONSE)
         self.queues.note_answer(state, trio.current_time() - began_at)
-        tally.first_runs += is_first
-        tally.crossed += target.region != self.region
+
+    def _change_in_flight(self, state: TargetState, change: int):
+        state.in_flight += change
+        self.tracker.note_in_flight(state.entry.instance, state.in_flight)
 
 
 class ModelFleet:
@@ -269,31 +377,36 @@
     policy : PlacementPolicy
     region_round_trip_s : float
         Round-trip time between any two regions.
+    demand : Demand
     """
 
     def __init__(
-        self, world: World, policy: PlacementPolicy, region_round_trip_s: float
+        self,
+        world: World,
+        policy: PlacementPolicy,
+        region_round_trip_s: float,
+        demand: Demand,
     ):
         self.world = world
         self.policy = policy
         self.region_round_trip_s = region_round_trip_s
-        self.tally = Tally()
-        self.route = Route(
-            name="route",
-            host="host",
-            prefix="/",
-            kind=RequestKind.NON_IDEMPOTENT,
-            pools=(WeightedPool(POOL, 1.0),),
-            timeout_s=world.timeout_s,
-            objective_s=world.objective_s,
-            attempts=2,
-            is_sticky=True,
-        )
+        self.demand = demand
+        self.region_of = world.region_of
+        self.tally = Tally(world.objective_s, world.timeout_s)
+        # The routes have the same name, so that requests of all priorities for an
+        # object have the same object key.
+        self.routes = {
+            priority: _route(world, priority) for priority in demand.priorities
+        }
+        self.workspaces = {
+            name: Workspace(name)
+            for name in (f"workspace-{n}" for n in range(demand.workspaces))
+        }
         self.configuration = Configuration(
             1,
-            {"host": {"/": self.route}},
+            {"host": {route.prefix: route for route in self.routes.values()}},
             {POOL: Pool(POOL)},
-            {},
+            self.workspaces,
             False,
             CallerLimits(),
         )
@@ -305,47 +418,109 @@
             for number in range(count)
         ]
         self.targets = {
-            entry.address: ModelTarget(world, entry.failure_domain)
-            for entry in self.entries
+            entry.address: ModelTarget(world, entry) for entry in self.entries
         }
         self.vms = [
-            ModelVm(self, region, f"{region}-vm-{number}")
-            for region in world.regions
-            for number in range(world.vms_per_region)
+            ModelVm(self, world.domain(region, number), f"{region}-vm-{number}")
+            for index, region in enumerate(world.regions)
+            for number in range(_even_part(world.vms, len(world.regions), index))
         ]
+        self._vms_by_region = {
+            index: [vm for vm in self.vms if vm.region == region]
+            for index, region in enumerate(world.regions)
+        }
         self._request_numbers = itertools.count()
 
-    def round_trip_s(self, region: str, other: str) -> float:
-        """Return the round-trip time between two regions."""
-        return LOCAL_ROUND_TRIP_S if region == other else self.region_round_trip_s
-
-    def make_call(self, name: str) -> Call:
+    def round_trip_s(self, domain: str, other: str) -> float:
+        """Return the round-trip time between two failure domains."""
+        if domain == other:
+            return LOCAL_ROUND_TRIP_S
+        if self.region_of[domain] == self.region_of[other]:
+            return NEAR_ROUND_TRIP_S
+        return self.region_round_trip_s
+
+    def make_call(
+        self,
+        name: str,
+        priority: int = 0,
+        workspace: str | None = None,
+        deadline: float | None = None,
+    ) -> Call:
         """Return a request for an object, in the form that the gateway uses."""
         now = trio.current_time()
+        if deadline is None:
+            deadline = now + self.world.timeout_s
         request_id = str(next(self._request_numbers))
         return Call(
             head=RequestHead("POST", "/", []),
             request=CallerRequest(request_id, "host", "/", None, name, None),
-            route=self.route,
-            workspace=None,
+            route=self.routes[priority],
+            workspace=self.workspaces.get(workspace),
             body=b"",
-            deadline=now + self.world.timeout_s,
-            cancel_at=now + self.world.timeout_s,
+            deadline=deadline,
+            cancel_at=deadline,
             pool=POOL,
             began_at=now,
         )
 
-    async def run(self, load: float, seconds: float, seed: int):
-        """Send `load` requests per second, distributed evenly over all VMs."""
-        rng = random.Random(seed)
+    async def run(self, seconds: float, seed: int, count_from_s: float = 0.0):
+        """Send the callers' requests to the VMs and wait for all outcomes."""
+        self.tally.count_from_s = count_from_s
         for vm in self.vms:
             vm.placement.random.seed(seed)
+        for target in self.targets.values():
+            target.seed(seed)
+        rng = random.Random(f"{seed} vms")
+        began_at = trio.current_time()
         async with trio.open_nursery() as nursery:
-            until = trio.current_time() + seconds
-            while trio.current_time() < until:
-                name = str(rng.randrange(self.world.objects))
-                nursery.start_soon(rng.choice(self.vms).request, name)
-                await trio.sleep(rng.expovariate(load))
+            for arrival in arrivals(self.demand, seconds, seed):
+                await trio.sleep_until(began_at + arrival.at_s)
+                nursery.start_soon(self._request, arrival, rng)
+
+    async def _request(self, arrival: Arrival, rng: random.Random):
+        outcome = Outcome(
+            arrival.at_s, arrival.region, arrival.priority, arrival.workspace
+        )
+        self.tally.outcomes.append(outcome)
+        began_at = trio.current_time()
+        deadline = began_at + self.world.timeout_s
+        # A region without VMs sends its requests to those of all regions.
+        vms = self._vms_by_region.get(arrival.region) or self.vms
+        while True:
+            call = self.make_call(
+                arrival.object_name, arrival.priority, arrival.workspace, deadline
+            )
+            refusal = await rng.choice(vms).request(call, outcome)
+            if refusal is None:
+                outcome.took_s = trio.current_time() - began_at
+                return
+            outcome.refusals += 1
+            if outcome.refusals > self.demand.retries:
+                return
+            wait_s = refusal.retry_after_s
+            if wait_s is None:
+                wait_s = DEFAULT_RETRY_AFTER_S
+            await trio.sleep(min(wait_s, call.seconds_left * MAX_RETRY_FRACTION))
+
+
+def _even_part(total: int, parts: int, index: int) -> int:
+    """Return the size of one of several parts that are as even as possible."""
+    return total // parts + (index < total % parts)
+
+
+def _route(world: World, priority: int) -> Route:
+    return Route(
+        name="route",
+        host="host",
+        prefix=f"/priority-{priority}",
+        kind=RequestKind.NON_IDEMPOTENT,
+        pools=(WeightedPool(POOL, 1.0),),
+        timeout_s=world.timeout_s,
+        objective_s=world.objective_s,
+        attempts=2,
+        priority=priority,
+        is_sticky=True,
+    )
 
 
 def _entry(region: str, number: int, world: World) -> TargetEntry:
@@ -354,7 +529,7 @@
         instance=instance,
         pool=POOL,
         address=f"{instance}:80",
-        failure_domain=region,
+        failure_domain=world.domain(region, number),
         slots=world.slots,
         is_draining=False,
         cold_for_s=0.0,
--- a/packages/measure/plantainshed_measure/placing_policies.py
+++ b/packages/measure/plantainshed_measure/placing_policies.py
@@ -21,10 +21,23 @@
         """Return all targets as the VM sees them."""
 
 
+@frozen
+class Refusal:
+    """Refuses a request.
+
+    Parameters
+    ----------
+    retry_after_s : float or None
+        When the caller is told to come back; None if it is told nothing.
+    """
+
+    retry_after_s: float | None = None
+
+
 class ChooseTarget(Protocol):
-    """Returns the target for a request, or None to refuse the request."""
+    """Returns the target for a request; None or a `Refusal` refuses the request."""
 
-    def __call__(self, vm: PolicyVm, call: Call) -> TargetState | None:
+    def __call__(self, vm: PolicyVm, call: Call) -> TargetState | Refusal | None:
         """Choose a target for one request."""
 
 
--- a/tests/gateway/selection/test_far_regions.py
+++ b/tests/gateway/selection/test_far_regions.py
@@ -1,25 +1,32 @@
 import unittest
 
 from plantainshed_gateway.ports import TargetLoad
+from plantainshed_measure.placing_demand import Demand
 from plantainshed_measure.placing_model import ModelFleet, World
 from plantainshed_measure.placing_policies import policies
 from plantainshed_standins.memory_network import run_deterministically
 from tests.support import on_mock_clock
 
-WORLD = World(targets_per_region=(2, 4, 6), objects=24)
+WORLD = World(targets_per_region=(2, 4, 6))
+OBJECTS = 24
 FAR_S = 0.110
 NEAR_S = 0.024
 
 
 def play(policy: str, round_trip_s: float, load: float) -> ModelFleet:
     async def run():
-        fleet = ModelFleet(WORLD, policies()[policy], round_trip_s)
-        await fleet.run(load, 30.0, seed=2)
+        fleet = make_fleet(policy, round_trip_s, load)
+        await fleet.run(30.0, seed=2)
         return fleet
 
     return run_deterministically(run)
 
 
+def make_fleet(policy: str, round_trip_s: float, load: float = 60.0) -> ModelFleet:
+    demand = Demand(load, OBJECTS, regions=(1, 1, 1))
+    return ModelFleet(WORLD, policies()[policy], round_trip_s, demand)
+
+
 def owner(vm, name: str):
     call = vm.fleet.make_call(name)
     return vm.placement.choose(call, vm.fleet.configuration, set(), [])
@@ -48,12 +55,12 @@
         """
         fleet = play("chosen", NEAR_S, 30)
         copies = sum(len(target.remembered) for target in fleet.targets.values())
-        self.assertLessEqual(copies, 1.3 * WORLD.objects)
+        self.assertLessEqual(copies, 1.3 * OBJECTS)
 
     @on_mock_clock
     async def test_requests_of_a_busy_owner_go_to_another_region(self):
         """Guards against a queue in a small region while others have free slots."""
-        fleet = ModelFleet(WORLD, policies()["chosen"], FAR_S)
+        fleet = make_fleet("chosen", FAR_S)
         vm = fleet.vms[0]
         first = {str(n): owner(vm, str(n)) for n in range(200)}
         own = [n for n in first if first[n].entry.failure_domain == vm.region]
@@ -73,7 +80,7 @@
     @on_mock_clock
     async def test_unreachable_owner_is_replaced_in_its_region(self):
         """Guards against a broken target that sends a region's requests elsewhere."""
-        vm = ModelFleet(WORLD, policies()["chosen"], FAR_S).vms[-1]
+        vm = make_fleet("chosen", FAR_S).vms[-1]
         first = owner(vm, "7")
         first.note_unreachable()
         second = owner(vm, "7")
--- a/tests/measure/test_experiment.py
+++ b/tests/measure/test_experiment.py
@@ -2,7 +2,8 @@
 import unittest
 from pathlib import Path
 
-from plantainshed_measure.experiment import BadExperiment, read_experiment, simulate_all
+from plantainshed_measure.experiment import simulate_all
+from plantainshed_measure.experiment_file import BadExperiment, read_experiment
 
 EXAMPLE = Path(__file__).parents[2] / "examples/experiments/far-regions.ini"
 
