Exchange load reports in the model, and add informed reference policies

VMs of the model knew only the answers to their own requests. `informed` and `least-loaded-informed` know the true state of all targets and show what is possible.

--- a/packages/measure/plantainshed_measure/experiment_file.py
+++ b/packages/measure/plantainshed_measure/experiment_file.py
@@ -8,8 +8,8 @@
 from plantainshed_gateway.durations import parse_duration
 
 from .placing_demand import Demand, Kind, Popularity, Waves
-from .placing_model import Noise, World
 from .placing_policies import policies
+from .placing_world import Noise, World
 
 OPTIONS = {
     "experiment": {
--- a/packages/measure/plantainshed_measure/placing_model.py
+++ b/packages/measure/plantainshed_measure/placing_model.py
@@ -6,6 +6,7 @@
 that the target remembers.
 """
 
+import heapq
 import io
 import itertools
 import math
@@ -13,7 +14,6 @@
 from collections import OrderedDict
 
 import trio
-from attrs import frozen
 
 from plantainshed_gateway.call import Call
 from plantainshed_gateway.connections import TargetConnections
@@ -43,7 +43,9 @@
 
 from .placing_demand import Arrival, Demand, arrivals
 from .placing_policies import PlacementPolicy, Refusal
+from .placing_reports import exchange_reports
 from .placing_tally import Outcome, Tally
+from .placing_world import World
 
 POOL = "pool"
 LOCAL_ROUND_TRIP_S = 0.001
@@ -69,106 +71,6 @@
 )
 
 
-@frozen
-class Noise:
-    """Changes of a target's speed.
-
-    Parameters
-    ----------
-    share : float
-        Fraction of the time for which a target is slower.
-    factor : float
-        Ratio of the duration of work on a slower target to the usual one.
-    every_s : float
-        Time after which it is drawn again whether the target is slower.
-    """
-
-    share: float = 0.0
-    factor: float = 1.0
-    every_s: float = 1.0
-
-
-@frozen
-class World:
-    """The parameters of the simulated environment.
-
-    Parameters
-    ----------
-    targets_per_region : tuple of int
-    vms : int
-        Number of VMs, spread over the regions as evenly as possible.
-    domains_per_region : int
-        Failure domains. The targets and VMs of a region are spread over them.
-    slots : int
-        Requests that a target runs concurrently.
-    queue : int
-        Requests that can wait at a target.
-    remembers : int
-        Objects that a target remembers; it forgets the least recently used one first.
-    first_run_s, later_run_s : float
-        Mean duration of a request for an object that the target does not remember, and
-        for one that it remembers.
-    spread : float
-        Standard deviation of the durations, as a fraction of the mean. They have a
-        log-normal distribution.
-    noise : Noise
-    objective_s : float
-        Time within which callers expect an answer.
-    timeout_s : float
-        Longest time that callers wait for an answer. Targets complete requests that
-        take longer.
-    has_reports : bool
-        Whether VMs exchange load reports.
-    """
-
-    targets_per_region: tuple[int, ...] = (2, 4, 6)
-    vms: int = 9
-    domains_per_region: int = 1
-    slots: int = 3
-    queue: int = 9
-    remembers: int = 25
-    first_run_s: float = 0.48
-    later_run_s: float = 0.144
-    spread: float = 0.0
-    noise: Noise = Noise()
-    objective_s: float = 0.4
-    timeout_s: float = 1.2
-    has_reports: bool = True
-
-    @property
-    def regions(self) -> list[str]:
-        """Names of the regions."""
-        return [f"region-{n}" for n in range(len(self.targets_per_region))]
-
-    @property
-    def region_of(self) -> dict[str, str]:
-        """Region of each failure domain."""
-        return {
-            self.domain(region, number): region
-            for region in self.regions
-            for number in range(self.domains_per_region)
-        }
-
-    def domain(self, region: str, number: int) -> str:
-        """Return the failure domain of a region's n-th VM or target.
-
-        A region's only failure domain has the name of the region.
-        """
-        if self.domains_per_region == 1:
-            return region
-        return f"{region}-domain-{number % self.domains_per_region}"
-
-    @property
-    def warm_room_per_s(self) -> float:
-        """Requests per second that all slots can run if no run is a first one."""
-        return sum(self.targets_per_region) * self.slots / self.later_run_s
-
-    @property
-    def cold_room_per_s(self) -> float:
-        """Requests per second that all slots can run if every run is a first one."""
-        return sum(self.targets_per_region) * self.slots / self.first_run_s
-
-
 class ModelTarget:
     """A target that runs requests in slots, queues some, and remembers objects.
 
@@ -216,6 +118,30 @@
         """Whether the queue is full, so that the target rejects requests."""
         return self.load.waiting >= self.world.queue
 
+    @property
+    def outstanding(self) -> int:
+        """Requests that run, wait, or are on their way."""
+        return len(self.pending) + len(self.ends_at)
+
+    def will_remember(self, name: str) -> bool:
+        """Return whether the next run for an object won't be a first one."""
+        return name in self.remembered or name in self.pending.values()
+
+    def expected_wait_s(self) -> float:
+        """Return how long a request that arrives now would wait for a slot."""
+        if self.outstanding < self.world.slots:
+            return 0.0
+        now, known = trio.current_time(), set()
+        free_at = [now] * (self.world.slots - len(self.ends_at))
+        free_at += self.ends_at.values()
+        heapq.heapify(free_at)
+        for name in self.pending.values():
+            is_first = name not in self.remembered and name not in known
+            known.add(name)
+            run_s = self.world.first_run_s if is_first else self.world.later_run_s
+            heapq.heapreplace(free_at, free_at[0] + run_s * self.slowdown_at(now))
+        return max(0.0, free_at[0] - now)
+
     def slowdown_at(self, at: float) -> float:
         """Return how long work takes at a time, as a multiple of the usual."""
         noise = self.world.noise
@@ -470,6 +396,14 @@
             vm.placement.random.seed(seed)
         for target in self.targets.values():
             target.seed(seed)
+        async with trio.open_nursery() as nursery:
+            if self.world.has_reports:
+                rng = random.Random(f"{seed} reports")
+                nursery.start_soon(exchange_reports, self.vms, self.round_trip_s, rng)
+            await self._send_requests(seconds, seed)
+            nursery.cancel_scope.cancel()
+
+    async def _send_requests(self, seconds: float, seed: int):
         rng = random.Random(f"{seed} vms")
         began_at = trio.current_time()
         async with trio.open_nursery() as nursery:
