--- a/packages/gateway/plantainshed_gateway/selection/choice.py
+++ b/packages/gateway/plantainshed_gateway/selection/choice.py
@@ -24,9 +24,10 @@
 )
 from .load_reports import FleetLoad
 from .owners import RESERVE, OwnerCounts
-from .registry import TargetState
+from .registry import Registry, TargetState
+from .round_trips import RoundTrips
 from .run_times import RunTimes
-from .shedding import PoolRoom
+from .shedding import PoolRoom, Shedding
 
 # Difference of expected times, in run times, at which a target is chosen e times less
 # often.
@@ -66,22 +67,20 @@
     Parameters
     ----------
     fleet_load : FleetLoad
-    run_times : RunTimes
-    expected_times : ExpectedTimes
-    owners : OwnerCounts
+    registry : Registry
+    round_trips : RoundTrips
     """
 
     def __init__(
-        self,
-        fleet_load: FleetLoad,
-        run_times: RunTimes,
-        expected_times: ExpectedTimes,
-        owners: OwnerCounts,
+        self, fleet_load: FleetLoad, registry: Registry, round_trips: RoundTrips
     ):
         self.fleet_load = fleet_load
-        self.run_times = run_times
-        self.expected_times = expected_times
-        self.owners = owners
+        self.run_times = RunTimes(round_trips)
+        self.expected_times = ExpectedTimes(fleet_load, self.run_times, round_trips)
+        self.owners = OwnerCounts(fleet_load, self.run_times)
+        self.shedding = Shedding(
+            fleet_load, self.expected_times, self.run_times, registry
+        )
         self.random = random.Random()
 
     def owner_count(self, call: Call, object_key: str, slots: int) -> int:
--- a/packages/gateway/plantainshed_gateway/selection/placement.py
+++ b/packages/gateway/plantainshed_gateway/selection/placement.py
@@ -33,7 +33,6 @@
 from .queueing import QueueLimits
 from .registry import Registry, TargetState, usable_among
 from .round_trips import RoundTrips
-from .shedding import Shedding
 from .target_limits import TargetLimits
 
 # Requests per slot, running and waiting, above which an object's first owner is
@@ -93,8 +92,6 @@
     round_trips : RoundTrips
     load_choice : LoadAwareChoice, optional
         Used while other VMs report their load.
-    shedding : Shedding, optional
-        Used together with `load_choice`.
     """
 
     def __init__(
@@ -107,7 +104,6 @@
         connections: IdleConnections,
         round_trips: RoundTrips,
         load_choice: LoadAwareChoice | None = None,
-        shedding: Shedding | None = None,
     ):
         self.region = region
         self.registry = registry
@@ -117,7 +113,6 @@
         self.connections = connections
         self.round_trips = round_trips
         self.load_choice = load_choice
-        self.shedding = shedding
         self.random = random.Random()
         self._cache: dict[tuple, _CachedRanking] = {}
         self._far_routes: set[str] = set()
@@ -177,9 +172,9 @@
         """Choose by the load that all VMs report; see `choice` and `shedding`."""
         eligible = self.registry.eligible(call.pool, call.home_regions)
         usable = usable_among(eligible)
-        room = self.shedding.room_of(call.pool, call.home_regions, usable)
+        room = self.load_choice.shedding.room_of(call.pool, call.home_regions, usable)
         # A retry was admitted before, and a target may have spent time on it.
-        if not call.attempts and not self.shedding.admits(
+        if not call.attempts and not self.load_choice.shedding.admits(
             room, call.pool, call.priority, call.workspace_name
         ):
             return None
@@ -225,7 +220,7 @@
         """
         if not self._is_chosen_by_load(call):
             return 0.0
-        return self.shedding.retry_after_s(call.seconds_left)
+        return self.load_choice.shedding.retry_after_s(call.seconds_left)
 
     def limited(self, call: Call, excluded: set[str]) -> list[TargetState]:
         """Return targets that name a limit and could answer a request in time.
--- a/packages/measure/plantainshed_measure/placing_model.py
+++ b/packages/measure/plantainshed_measure/placing_model.py
@@ -30,6 +30,7 @@
     Workspace,
 )
 from plantainshed_gateway.ports import CallerRequest, TargetEntry, TargetLoad
+from plantainshed_gateway.selection.choice import LoadAwareChoice
 from plantainshed_gateway.selection.cold import ColdTargets
 from plantainshed_gateway.selection.load_reports import FleetLoad, LoadTracker
 from plantainshed_gateway.selection.placement import Placement
@@ -236,7 +237,7 @@
             self._connect,
         )
         self.queues = QueueLimits(self.round_trips)
-        self.placement = Placement(
+        placement_parts = (
             self.region,
             self.registry,
             ColdTargets(BOUNDS, name),
@@ -245,6 +246,22 @@
             self.connections,
             self.round_trips,
         )
+        self.placement = Placement(
+            *placement_parts,
+            LoadAwareChoice(self.load, self.registry, self.round_trips),
+        )
+        self.placement_by_answers = Placement(*placement_parts)
+
+    def seed(self, seed: int):
+        """Make the VM's random choices repeatable."""
+        choice = self.placement.load_choice
+        for part in (
+            self.placement,
+            self.placement_by_answers,
+            choice,
+            choice.shedding,
+        ):
+            part.random.seed(f"{seed} {self.name}")
 
     async def _connect(self, address: str, timeout_s: float) -> ModelConnection:
         target = self.fleet.targets[address]
@@ -287,7 +304,7 @@
         state.note_load(load)
         self._change_in_flight(state, -1)
         self.connections.release(state, connection, KEEP_ALIVE_RESPONSE)
-        self.queues.note_answer(state, trio.current_time() - began_at)
+        self.placement.note_answer(call, state, trio.current_time() - began_at)
 
     def _change_in_flight(self, state: TargetState, change: int):
         state.in_flight += change
@@ -393,7 +410,7 @@
         """Send the callers' requests to the VMs and wait for all outcomes."""
         self.tally.count_from_s = count_from_s
         for vm in self.vms:
-            vm.placement.random.seed(seed)
+            vm.seed(seed)
         for target in self.targets.values():
             target.seed(seed)
         async with trio.open_nursery() as nursery:
--- a/packages/measure/plantainshed_measure/placing_policies.py
+++ b/packages/measure/plantainshed_measure/placing_policies.py
@@ -67,6 +67,7 @@
     fleet: PolicyFleet
     load: FleetLoad
     placement: Placement
+    placement_by_answers: Placement
     registry: Registry
 
     def states(self) -> list[TargetState]:
@@ -107,9 +108,15 @@
     choose: ChooseTarget
 
 
-def choose_like_gateway(vm: PolicyVm, call: Call) -> TargetState | None:
+def choose_like_gateway(vm: PolicyVm, call: Call) -> TargetState | Refusal:
     """Choose a target with the gateway's own placement."""
-    return vm.placement.choose(call, vm.registry.configuration, set(), [])
+    state = vm.placement.choose(call, vm.registry.configuration, set(), [])
+    return state or Refusal(vm.placement.retry_after_s(call) or None)
+
+
+def choose_by_answers(vm: PolicyVm, call: Call) -> TargetState | None:
+    """Choose like the gateway while no VM reports its load."""
+    return vm.placement_by_answers.choose(call, vm.registry.configuration, set(), [])
 
 
 def choose_single_owner(vm: PolicyVm, call: Call) -> TargetState | None:
@@ -230,6 +237,7 @@
     """Return new instances of all policies, by name."""
     known = (
         PlacementPolicy("chosen", choose_like_gateway),
+        PlacementPolicy("by-answers", choose_by_answers),
         PlacementPolicy("one-owner", choose_single_owner),
         PlacementPolicy("least-loaded", choose_least_loaded),
         PlacementPolicy("informed", Informed()),
