Serve routes of the kind upload, as non-idempotent ones

The decoder did not know this kind and rejected the whole configuration, so that no VM became ready. Uploads run at most once: only idempotent requests are sent again after an attempt that may have run.

--- a/packages/gateway/plantainshed_gateway/model.py
+++ b/packages/gateway/plantainshed_gateway/model.py
@@ -9,10 +9,14 @@
 
 
 class RequestKind(StrEnum):
-    """Whether a request with an unknown outcome may be sent again."""
+    """Whether a request with an unknown outcome may be sent again.
+
+    An upload is a request with a large body. It is handled as non-idempotent.
+    """
 
     IDEMPOTENT = "idempotent"
     NON_IDEMPOTENT = "non_idempotent"
+    UPLOAD = "upload"
 
 
 @frozen
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -190,6 +190,20 @@
                 runs = [run for target in system.targets for run in target.runs]
                 self.assertEqual(len(runs), 1, fault)
 
+    @on_real_clock
+    async def test_upload_is_served_and_never_sent_twice(self):
+        """Guards against a configuration that is rejected because of this kind."""
+        first = configuration(paths=[route("up", "/up/", kind="upload", attempts=3)])
+        async with running_system(2, first) as system:
+            for target in system.targets:
+                target.response_faults = ["reset"]
+            body = b"x" * 300_000
+            status, headers, _ = await system.ask("/up/1", "PUT", body=body)
+            self.assertEqual(status, 502)
+            self.assertNotIn("retry-after", headers)
+            runs = [run for target in system.targets for run in target.runs]
+            self.assertEqual([run.body for run in runs], [body])
+
     @on_real_clock
     async def test_error_answer_of_a_target_is_passed_on_unchanged(self):
         async with running_system(2) as system:
