Let an invalid route cost this route only, not the whole configuration

One route of a kind that this build did not know made the decoder reject the whole configuration; no VM became ready. Each problem is logged once per version and counted by a gauge.

--- a/packages/gateway/plantainshed_gateway/gateway.py
+++ b/packages/gateway/plantainshed_gateway/gateway.py
@@ -341,6 +341,9 @@
             metrics.copy_revision.set(labels, replica.revision)
             if replica.is_initialized:
                 metrics.copy_age.set(labels, trio.current_time() - replica.confirmed_at)
+        configuration = self.admission.configuration
+        if configuration is not None:
+            metrics.configuration_problems.set({}, len(configuration.problems))
         metrics.targets_unreachable.set({}, int(self.reach.is_cut_off))
         metrics.limited_targets.set({}, len(self.target_limits.limited))
         self.fleet_view.measure()
--- a/packages/gateway/plantainshed_gateway/metrics.py
+++ b/packages/gateway/plantainshed_gateway/metrics.py
@@ -36,6 +36,10 @@
             "copy_revision",
             "Revision of the store up to which a collection's copy is complete.",
         )
+        self.configuration_problems = self._gauge(
+            "configuration_problems",
+            "Items of the configuration in force that are not usable.",
+        )
         self.vms = self._gauge(
             "vms",
             "VMs: known, alive, and alive with another list of VMs than this one.",
--- a/packages/gateway/plantainshed_gateway/state_applier.py
+++ b/packages/gateway/plantainshed_gateway/state_applier.py
@@ -1,7 +1,8 @@
 """Applies the store's collections: configuration, targets and evacuations.
 
 An object that cannot be decoded is skipped and logged with the invalid field; the
-state that was in force before stays in force.
+state that was in force before stays in force. Problems of single items of a
+configuration are logged when its version comes into force.
 """
 
 from typing import Any
@@ -148,7 +149,16 @@
             version_before=known.version if known else None,
             revision=self.followers[Collection.CONFIGURATION].replica.revision,
             routes=len(routes),
+            problems=len(configuration.problems),
         )
+        for found in configuration.problems:
+            self.log.event(
+                "configuration item not usable",
+                version=configuration.version,
+                name=found.name,
+                field=found.field,
+                problem=found.problem,
+            )
 
     def _apply_targets(self):
         follower = self.followers[Collection.TARGETS]
