Add plantainshed check, which checks a configuration before it is sent

Operators learned of an invalid or contradictory configuration only from VMs that did not use it. The command decodes a file with the decoder of the adapter and lists items that VMs would not use, entries that never match and limits that contradict each other. The checks are functions on Configuration; entries that others hide are found in the written form, since a decoded configuration has one route for each prefix and one workspace for each key. Empty keys are errors: they admit requests without a key.

The operator package must not import the adapter. It finds it through an entry point in the group plantainshed.configuration_checkers, which takes effect when the adapter is installed again.

--- a/packages/operator/plantainshed/cli/commands.py
+++ b/packages/operator/plantainshed/cli/commands.py
@@ -4,11 +4,13 @@
 from pathlib import Path
 
 import trio
+from fire.decorators import SetParseFn
 
 from plantainshed_entry.status import ExitCode
 
 from ..errors import BadUsage
 from ..report.page import FORMATS, report_as
+from .check_command import check_file
 from .document_commands import DocumentCommands
 from .fleet_commands import DrainCommands, KeyCommands, ShiftCommands, print_status
 from .session import Session
@@ -34,6 +36,22 @@
         self.drain = DrainCommands(self._session)
         self.shift = ShiftCommands(self._session)
 
+    @SetParseFn(str, "file", "regions")
+    def check(self, file: str, regions: str = ""):
+        """Check a configuration of the gateway before it is sent.
+
+        The exit code is 0 if there are no errors, 1 if there are, and 2 if the file
+        cannot be read.
+
+        Parameters
+        ----------
+        file : str
+            JSON in the platform's format.
+        regions : str
+            Regions that have targets or failure domains, separated by commas.
+        """
+        check_file(file, regions, self._session.json)
+
     def status(self):
         """Show the state of each VM and the document version that it applies."""
         print_status(self._session)
--- a/tests/platform/test_fuzz.py
+++ b/tests/platform/test_fuzz.py
@@ -6,11 +6,13 @@
 """
 
 import copy
+import json
 import math
 import tempfile
 import unittest
 from pathlib import Path
 
+import orjson
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -19,6 +21,7 @@
 from plantainshed_gateway.ports import Item
 from plantainshed_gateway.settings import load_settings
 from plantainshed_http.messages import RequestHead, ResponseHead
+from plantainshed_platform.check import check
 from plantainshed_platform.decoding import PlatformDecoder
 from plantainshed_platform.wire import PlatformWire
 from tests.gateway.gateway_support import make_heartbeat
@@ -104,6 +107,25 @@
                 lost = len(host["paths"] or []) - usable
                 self.assertLessEqual(max(0, lost), len(taken.problems))
 
+    @PROFILE
+    @given(mutated(configuration()) | JSON)
+    def test_check_of_a_configuration_agrees_with_the_decoder(self, value):
+        """Guards against a check that fails on what the decoder accepts."""
+        text = json.dumps(value).encode()
+        try:
+            value = orjson.loads(text)
+        except ValueError:
+            # The store's JSON has neither NaN nor integers of more than 64 bits.
+            return
+        try:
+            decoded = PlatformDecoder().configuration(Item("main", 1, value))
+            problems = {problem.field for problem in decoded.problems}
+        except BadItem as error:
+            problems = {error.field}
+        result = check(text)
+        self.assertLessEqual(problems, {f["field"] for f in result["findings"]})
+        self.assertTrue(result["has_errors"] or not problems)
+
     @PROFILE
     @given(mutated(entry(TargetStandin("i", address="10.0.0.1:80"))) | JSON)
     def test_target_is_taken_whole_or_refused(self, value):
