Show in plantainshed check what differs from the version in force

Keys are shown with at most a quarter of their characters. A version that is not higher than the one in force is an error, since VMs ignore it; the same file on both sides is not.

--- a/packages/operator/plantainshed/cli/check_command.py
+++ b/packages/operator/plantainshed/cli/check_command.py
@@ -14,20 +14,20 @@
 CHECKERS = "plantainshed.configuration_checkers"
 
 
-def check_file(file: str, regions: str, as_json: bool):
+def check_file(file: str, against: str, regions: str, as_json: bool):
     """Print what is wrong with a file; exit with a status other than 0 for errors.
 
     Raises
     ------
     BadUsage
-        If the file cannot be read, or no installed package knows its format.
+        If a file cannot be read, or no installed package knows its format.
     """
     check = _load_checker()
     names = frozenset(filter(None, (name.strip() for name in regions.split(","))))
+    text = _read(file)
+    in_force = _read(against) if against else None
     try:
-        result = check(Path(file).read_bytes(), regions=names)
-    except OSError as error:
-        raise BadUsage(f"{file}: {error.strerror}") from error
+        result = check(text, regions=names, against=in_force)
     except ValueError as error:
         raise BadUsage(f"{file}: {error}") from error
     if as_json:
@@ -38,6 +38,13 @@
         sys.exit(ExitCode.FAILED)
 
 
+def _read(file: str) -> bytes:
+    try:
+        return Path(file).read_bytes()
+    except OSError as error:
+        raise BadUsage(f"{file}: {error.strerror}") from error
+
+
 def _load_checker():
     for entry_point in entry_points(group=CHECKERS):
         return entry_point.load()
@@ -54,3 +61,8 @@
         print_table(result["findings"])
     else:
         print("no findings")
+    changes = result["changes"]
+    if changes is not None:
+        print("\nchanges:" if changes else "\nno changes")
+        if changes:
+            print_table(changes)
--- a/packages/operator/plantainshed/cli/commands.py
+++ b/packages/operator/plantainshed/cli/commands.py
@@ -36,21 +36,23 @@
         self.drain = DrainCommands(self._session)
         self.shift = ShiftCommands(self._session)
 
-    @SetParseFn(str, "file", "regions")
-    def check(self, file: str, regions: str = ""):
+    @SetParseFn(str, "file", "against", "regions")
+    def check(self, file: str, against: str = "", regions: str = ""):
         """Check a configuration of the gateway before it is sent.
 
-        The exit code is 0 if there are no errors, 1 if there are, and 2 if the file
+        The exit code is 0 if there are no errors, 1 if there are, and 2 if a file
         cannot be read.
 
         Parameters
         ----------
         file : str
             JSON in the platform's format.
+        against : str
+            The version in force; the command also lists what would change.
         regions : str
             Regions that have targets or failure domains, separated by commas.
         """
-        check_file(file, regions, self._session.json)
+        check_file(file, against, regions, self._session.json)
 
     def status(self):
         """Show the state of each VM and the document version that it applies."""
--- a/tests/gateway/test_configuration_checks.py
+++ b/tests/gateway/test_configuration_checks.py
@@ -2,12 +2,14 @@
 
 from attrs import evolve
 
+from plantainshed_gateway.configuration_changes import find_changes
 from plantainshed_gateway.configuration_checks import Category, check
 from plantainshed_gateway.model import (
     CallerLimits,
     ItemProblem,
     Pool,
     RequestKind,
+    UnusableRoute,
     Workspace,
 )
 from tests.gateway.gateway_support import POOL, make_configuration, make_route
@@ -73,3 +75,47 @@
             (conflict, "burst"),
         ]
         self.assertEqual(found, expected)
+
+
+class TestChanges(unittest.TestCase):
+    def test_added_removed_and_changed_items(self):
+        """Guards against an item whose change is not shown."""
+        routes = [make_route(name) for name in ("kept", "gone", "spoilt", "changed")]
+        keys = {"0123456789abcdef": Workspace("w", rate_per_s=5.0), "x": Workspace("v")}
+        before = evolve(make_configuration(*routes), workspace_by_key=keys)
+        pools = (("calendario", 3.0), ("other", 1.0))
+        changed = make_route("changed", pools, home_regions=NORTH | SOUTH)
+        routes = [routes[0], changed, make_route("new")]
+        keys = {"fedcba9876543210": Workspace("w", rate_per_s=7.5)}
+        after = evolve(
+            make_configuration(*routes, pools=(evolve(POOL, warmup_s=1.0),)),
+            workspace_by_key=keys,
+            limits=CallerLimits(max_body_bytes=9),
+            requires_keys=True,
+            unusable_routes={"h": {"/spoilt/": UnusableRoute("spoilt")}},
+        )
+        found = [
+            (c.action, c.item, c.field, c.before, c.after)
+            for c in find_changes(before, after)
+        ]
+        expected = [
+            (
+                ("changed", "route h/changed/", "pools")
+                + ("calendario:1", "calendario:3, other:1")
+            ),
+            ("changed", "route h/changed/", "home_regions", "", "north, south"),
+            ("added", "route h/new/", "", "", ""),
+            ("changed", "route h/spoilt/", "", "usable", "not usable"),
+            ("removed", "route h/gone/", "", "", ""),
+            ("changed", "pool calendario", "warmup_s", "3", "1"),
+            ("changed", "workspace w", "rate_per_s", "5", "7.5"),
+            (
+                ("changed", "workspace w", "keys")
+                + ("1 removed: 0123...", "1 added: fedc...")
+            ),
+            ("removed", "workspace v", "", "", ""),
+            ("changed", "limits", "max_body_bytes", "67108864", "9"),
+            ("changed", "configuration", "requires_keys", "False", "True"),
+        ]
+        self.assertEqual(found, expected)
+        self.assertEqual(find_changes(after, after), [])
--- a/tests/platform/test_check.py
+++ b/tests/platform/test_check.py
@@ -123,13 +123,34 @@
 
     def test_keys_are_never_printed(self):
         tenants = [tenant("a", KEY), tenant("b", KEY, "short"), tenant("c", "short")]
+        in_force = self.write("in force", configuration(6, tenants=[tenant("a", "x")]))
         for value in (tenants, [tenant("a", KEY), {"apiKeys": [KEY]}]):
             path = self.write("keys", configuration(tenants=value))
-            for option in ("--json", "--nojson"):
+            for option in ("--json", f"--against={in_force}"):
                 text = self.run_command(path, option)[1]
                 self.assertNotIn(KEY, text)
                 self.assertNotIn("short", text)
 
+    def test_difference_from_the_version_in_force(self):
+        """Guards against a version that all VMs ignore."""
+        old = self.write("7", configuration(7, [route()]))
+        new = [route(timeout="2s")]
+        for version, expected in ((8, ExitCode.OK), (7, ExitCode.FAILED)):
+            path = self.write("new", configuration(version, new))
+            code, text = self.run_command(path, f"--against={old}", "--json")
+            result = json.loads(text)
+            self.assertEqual(code, expected)
+            self.assertEqual(
+                [(c["field"], c["before"], c["after"]) for c in result["changes"]],
+                [("timeout", "1.2", "2")],
+            )
+        code, text = self.run_command(old, f"--against={old}")
+        self.assertEqual(code, ExitCode.OK)
+        self.assertIn("no changes", text)
+        invalid = self.write("invalid", {"version": 6})
+        with self.assertRaisesRegex(BadUsage, "in force is not valid"):
+            self.run_command(old, f"--against={invalid}")
+
     def test_unreadable_file_or_missing_adapter(self):
         for path in (str(self.folder / "none"), self.write("cut", '{"version": 7, "h')):
             with self.assertRaises(BadUsage):
