Reject a configuration with an invalid value as a whole again

A configuration takes effect whole or not at all. Now an invalid value of a known field rejects the whole configuration again, and the version before stays in force. An unknown kind (a string) is still served as non-idempotent, and unknown fields of routes are ignored; both are logged once per version and counted. The reason route_unusable, Configuration.unusable_routes and what used them are removed.

An empty key of a workspace admitted requests without a key. It is now ignored, logged and counted like an unknown field; requests without a key get 401, also if a workspace has no other key. plantainshed check reports it as one of the problems, and the workspace that is left without a key as one that never matches.

plantainshed check reports the first invalid value and that all VMs reject the configuration; it then has no other findings.

Tests of unusable routes now check that the same values, and a few more, reject the whole configuration. The fuzz test checks that each prefix of an accepted configuration has its route, and that no key is empty.

--- a/packages/gateway/plantainshed_gateway/admission.py
+++ b/packages/gateway/plantainshed_gateway/admission.py
@@ -8,7 +8,7 @@
 from .call import Call
 from .errors import BadRequest, Refusal
 from .loans import Loans
-from .model import Configuration, Route, UnusableRoute, Workspace
+from .model import Configuration, Route, Workspace
 from .ports import CallerRequest, Wire
 from .quota import Quotas
 from .reasons import Reason
@@ -16,9 +16,6 @@
 
 # Retry-after of a VM that has no configuration yet.
 NOT_CONFIGURED_RETRY_S = 0.5
-# Retry-after for routes that this VM cannot use. A VM of a newer build, or of another
-# version of the configuration, may serve the request.
-ROUTE_UNUSABLE_RETRY_S = 1.0
 # How long after a route's timeout a target's answer is still accepted. Without this
 # grace period, with a timeout of 1.2 s and first runs of 1.16 s on average, a fifth
 # of the requests of a day with restarts were cancelled just before they finished, and
@@ -50,7 +47,13 @@
         """
         configuration = self._require_configuration()
         request = self._read_request(head)
-        route = _find_route(request, configuration)
+        route = configuration.route_for(request.host, request.path)
+        if route is None:
+            raise Refusal(
+                HTTPStatus.NOT_FOUND,
+                Reason.NO_ROUTE,
+                f"no route of {request.host} serves {request.path}",
+            )
         workspace = _find_workspace(request, route, configuration)
         object_key = request.affinity or request.request_id
         caller_timeout_s = (
@@ -108,25 +111,6 @@
             )
 
 
-def _find_route(request: CallerRequest, configuration: Configuration) -> Route:
-    route = configuration.route_for(request.host, request.path)
-    if route is None:
-        raise Refusal(
-            HTTPStatus.NOT_FOUND,
-            Reason.NO_ROUTE,
-            f"no route of {request.host} serves {request.path}",
-        )
-    if isinstance(route, UnusableRoute):
-        # The caller would not retry after a 404 or 401.
-        raise Refusal(
-            HTTPStatus.SERVICE_UNAVAILABLE,
-            Reason.ROUTE_UNUSABLE,
-            f"route {route.name} is not usable in version {configuration.version}",
-            ROUTE_UNUSABLE_RETRY_S,
-        )
-    return route
-
-
 def _find_workspace(
     request: CallerRequest, route: Route, configuration: Configuration
 ) -> Workspace | None:
--- a/packages/gateway/plantainshed_gateway/configuration_changes.py
+++ b/packages/gateway/plantainshed_gateway/configuration_changes.py
@@ -6,12 +6,11 @@
 
 from attrs import fields, frozen
 
-from .configuration_checks import masked, route_item, workspaces
-from .model import Configuration, Pool, Route, UnusableRoute, WeightedPool, Workspace
+from .configuration_checks import all_routes, masked, route_item, workspaces
+from .model import Configuration, Pool, Route, WeightedPool, Workspace
 
 # Attributes that name an item, or are compared in another way.
 NOT_COMPARED = frozenset({"host", "prefix"})
-UNUSABLE = "not usable"
 
 
 class Action(StrEnum):
@@ -46,7 +45,7 @@
 def find_changes(before: Configuration, after: Configuration) -> list[Change]:
     """Return the differences: routes, pools, workspaces, their keys, and limits."""
     return [
-        *_compare_all(_routes(before), _routes(after), _compare_routes),
+        *_compare_all(_routes(before), _routes(after), _compare_attributes),
         *_compare_all(_pools(before), _pools(after), _compare_attributes),
         *_compare_all(_workspaces(before), _workspaces(after), _compare_workspaces),
         *_compare_attributes("limits", before.limits, after.limits),
@@ -59,12 +58,10 @@
     ]
 
 
-def _routes(configuration: Configuration) -> dict[str, Route | UnusableRoute]:
+def _routes(configuration: Configuration) -> dict[str, Route]:
     return {
-        route_item(host, prefix): route
-        for routes in (configuration.routes, configuration.unusable_routes)
-        for host, by_prefix in routes.items()
-        for prefix, route in by_prefix.items()
+        route_item(route.host, route.prefix): route
+        for route in all_routes(configuration)
     }
 
 
@@ -97,15 +94,6 @@
             yield from compare(item, before[item], after[item])
 
 
-def _compare_routes(item: str, before, after) -> Iterable[Change]:
-    if isinstance(before, Route) and isinstance(after, Route):
-        yield from _compare_attributes(item, before, after)
-    elif isinstance(before, Route):
-        yield Change(Action.CHANGED, item, "", "usable", UNUSABLE)
-    elif isinstance(after, Route):
-        yield Change(Action.CHANGED, item, "", UNUSABLE, "usable")
-
-
 def _compare_workspaces(item: str, before, after) -> Iterable[Change]:
     (old, old_keys), (new, new_keys) = before, after
     yield from _compare_attributes(item, old, new)
--- a/packages/gateway/plantainshed_gateway/configuration_checks.py
+++ b/packages/gateway/plantainshed_gateway/configuration_checks.py
@@ -61,7 +61,7 @@
         *_check_limits(configuration),
         *_check_pools(configuration),
     ]
-    for route in usable_routes(configuration):
+    for route in all_routes(configuration):
         findings += _check_route(route, configuration, regions)
     for workspace in workspaces(configuration):
         findings += _check_workspace(workspace, regions)
@@ -74,7 +74,7 @@
     return sorted(findings, key=lambda found: categories.index(found.category))
 
 
-def usable_routes(configuration: Configuration) -> list[Route]:
+def all_routes(configuration: Configuration) -> list[Route]:
     """Return the routes of all hosts."""
     by_host = configuration.routes.values()
     return [route for by_prefix in by_host for route in by_prefix.values()]
@@ -108,7 +108,7 @@
             yield Finding(Category.ERROR, "limits", field, problem)
     if limits.max_body_bytes:
         return
-    for route in usable_routes(configuration):
+    for route in all_routes(configuration):
         if route.kind is RequestKind.UPLOAD:
             item = route_item(route.host, route.prefix)
             problem = f"is 0, but {item} is for uploads: all are refused with 413"
@@ -117,13 +117,11 @@
 
 def _check_pools(configuration: Configuration) -> Iterator[Finding]:
     used = {
-        weighted.pool
-        for route in usable_routes(configuration)
-        for weighted in route.pools
+        weighted.pool for route in all_routes(configuration) for weighted in route.pools
     }
     for pool in configuration.pools:
         if pool not in used:
-            problem = "no usable route sends requests to it"
+            problem = "no route sends requests to it"
             yield Finding(Category.NEVER_MATCHES, f"pool {pool}", "name", problem)
 
 
--- a/packages/gateway/plantainshed_gateway/metrics.py
+++ b/packages/gateway/plantainshed_gateway/metrics.py
@@ -38,7 +38,7 @@
         )
         self.configuration_problems = self._gauge(
             "configuration_problems",
-            "Items of the configuration in force that are not usable.",
+            "Items of the configuration in force that are unknown or ignored.",
         )
         self.vms = self._gauge(
             "vms",
--- a/packages/gateway/plantainshed_gateway/model.py
+++ b/packages/gateway/plantainshed_gateway/model.py
@@ -5,7 +5,7 @@
 
 from enum import StrEnum
 
-from attrs import field, frozen
+from attrs import frozen
 
 
 class RequestKind(StrEnum):
@@ -145,19 +145,6 @@
     problem: str
 
 
-@frozen
-class UnusableRoute:
-    """A route that could not be decoded; its requests are refused.
-
-    Parameters
-    ----------
-    name : str
-        The route's name, or where it is if the name could not be read.
-    """
-
-    name: str
-
-
 @frozen
 class Configuration:
     """One version of the complete configuration.
@@ -166,16 +153,14 @@
     ----------
     version : int
     routes : dict of str to dict of str to Route
-        Usable routes by host, then by path prefix.
+        Routes by host, then by path prefix.
     pools : dict of str to Pool
     workspace_by_key : dict of str to Workspace
     requires_keys : bool
         Whether requests on routes that are not public need a key.
     limits : CallerLimits
-    unusable_routes : dict of str to dict of str to UnusableRoute
-        By host, then by path prefix. No prefix is also in `routes`.
     problems : tuple of ItemProblem
-        Problems of single items, which do not make the configuration invalid.
+        Items that this VM does not know or ignores; the others are in force.
     """
 
     version: int
@@ -184,19 +169,16 @@
     workspace_by_key: dict[str, Workspace]
     requires_keys: bool
     limits: CallerLimits
-    unusable_routes: dict[str, dict[str, UnusableRoute]] = field(factory=dict)
     problems: tuple[ItemProblem, ...] = ()
 
-    def route_for(self, host: str, path: str) -> Route | UnusableRoute | None:
+    def route_for(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching path prefix, or None."""
-        by_prefix = self.routes.get(host, {})
-        unusable_by_prefix = self.unusable_routes.get(host, {})
-        if not by_prefix and not unusable_by_prefix:
+        by_prefix = self.routes.get(host)
+        if not by_prefix:
             return None
         end = path.rfind("/")
         while end >= 0:
-            prefix = path[: end + 1]
-            route = by_prefix.get(prefix) or unusable_by_prefix.get(prefix)
+            route = by_prefix.get(path[: end + 1])
             if route is not None:
                 return route
             end = path.rfind("/", 0, end)
--- a/packages/gateway/plantainshed_gateway/reasons.py
+++ b/packages/gateway/plantainshed_gateway/reasons.py
@@ -10,7 +10,6 @@
     BAD_REQUEST = "bad_request"
     BODY_TOO_LARGE = "body_too_large"
     NO_ROUTE = "no_route"
-    ROUTE_UNUSABLE = "route_unusable"
     UNKNOWN_KEY = "unknown_key"
     OVER_QUOTA = "over_quota"
     NO_TARGET = "no_target"
--- a/packages/gateway/plantainshed_gateway/relaying.py
+++ b/packages/gateway/plantainshed_gateway/relaying.py
@@ -58,7 +58,6 @@
         Reason.NO_ROUTE,
         Reason.OUTDATED,
         Reason.RELAY_FAILED,
-        Reason.ROUTE_UNUSABLE,
         Reason.STOPPING,
         Reason.UNKNOWN_KEY,
         Reason.WAS_PAUSED,
--- a/packages/gateway/plantainshed_gateway/state_applier.py
+++ b/packages/gateway/plantainshed_gateway/state_applier.py
@@ -1,8 +1,8 @@
 """Applies the store's collections: configuration, targets and evacuations.
 
 An object that cannot be decoded is skipped and logged with the invalid field; the
-state that was in force before stays in force. Problems of single items of a
-configuration are logged when its version comes into force.
+state that was in force before stays in force. Items of a valid configuration that are
+unknown or ignored are logged when its version comes into force.
 """
 
 from typing import Any
--- a/tests/gateway/test_configuration_checks.py
+++ b/tests/gateway/test_configuration_checks.py
@@ -9,7 +9,6 @@
     ItemProblem,
     Pool,
     RequestKind,
-    UnusableRoute,
     Workspace,
 )
 from tests.gateway.gateway_support import POOL, make_configuration, make_route
@@ -80,7 +79,7 @@
 class TestChanges(unittest.TestCase):
     def test_added_removed_and_changed_items(self):
         """Guards against an item whose change is not shown."""
-        routes = [make_route(name) for name in ("kept", "gone", "spoilt", "changed")]
+        routes = [make_route(name) for name in ("kept", "gone", "changed")]
         keys = {"0123456789abcdef": Workspace("w", rate_per_s=5.0), "x": Workspace("v")}
         before = evolve(make_configuration(*routes), workspace_by_key=keys)
         pools = (("calendario", 3.0), ("other", 1.0))
@@ -92,7 +91,6 @@
             workspace_by_key=keys,
             limits=CallerLimits(max_body_bytes=9),
             requires_keys=True,
-            unusable_routes={"h": {"/spoilt/": UnusableRoute("spoilt")}},
         )
         found = [
             (c.action, c.item, c.field, c.before, c.after)
@@ -105,7 +103,6 @@
             ),
             ("changed", "route h/changed/", "home_regions", "", "north, south"),
             ("added", "route h/new/", "", "", ""),
-            ("changed", "route h/spoilt/", "", "usable", "not usable"),
             ("removed", "route h/gone/", "", "", ""),
             ("changed", "pool calendario", "warmup_s", "3", "1"),
             ("changed", "workspace w", "rate_per_s", "5", "7.5"),
--- a/tests/platform/test_check.py
+++ b/tests/platform/test_check.py
@@ -59,7 +59,9 @@
             value = configuration(paths=paths, **changes)
             self.assertEqual(found_in(value), [(never, *f) for f in found], changes)
         found = found_in(configuration(paths=[route()], tenants=[tenant("a", "")]))
-        self.assertEqual(found, [("error", "workspace a", "apiKeys")])
+        expected = [("error", "main/tenants[0]", "apiKeys")]
+        expected.append(("never_matches", "workspace a", "apiKeys"))
+        self.assertEqual(found, expected)
 
     def test_fields_have_the_names_of_the_format(self):
         value = configuration(paths=[route(targetLatency="9s", service="x")])
@@ -105,14 +107,21 @@
         code, text = self.run_command(self.write("stored", stored))
         self.assertEqual(code, ExitCode.OK, text)
         self.assertIn("conflicting_limits", text)
-        bad = configuration(paths=[route(kind="stream"), route("b", "/b/", timeout=3)])
+        bad = configuration(paths=[route(kind="stream"), route("b", "/b/", shape=3)])
         code, text = self.run_command(self.write("bad", bad), "--json")
         fields = [found["field"] for found in json.loads(text)["findings"]]
-        self.assertEqual((code, fields[:2]), (ExitCode.FAILED, ["kind", "timeout"]))
-        whole = self.write("whole", {**bad, "version": "x"})
-        code, text = self.run_command(whole)
-        self.assertEqual(code, ExitCode.FAILED)
-        self.assertIn("all VMs reject", text)
+        self.assertEqual((code, fields[:2]), (ExitCode.FAILED, ["kind", "shape"]))
+        route_with_bad_timeout = configuration(paths=[route(), route(timeout=3)])
+        for invalid, field in (
+            ({**bad, "version": "x"}, "version"),
+            (route_with_bad_timeout, "timeout"),
+        ):
+            code, text = self.run_command(self.write("invalid", invalid), "--json")
+            result = json.loads(text)
+            self.assertEqual((code, result["version"]), (ExitCode.FAILED, None))
+            (found,) = result["findings"]
+            self.assertEqual((found["category"], found["field"]), ("error", field))
+            self.assertIn("all VMs reject this configuration", found["problem"])
 
     def test_home_regions_are_compared_with_the_given_ones(self):
         path = self.write("home", configuration(paths=[route(homeRegions=["7"])]))
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -1,7 +1,7 @@
 import unittest
 
 from plantainshed_gateway.errors import BadItem
-from plantainshed_gateway.model import RequestKind, Route, UnusableRoute
+from plantainshed_gateway.model import RequestKind
 from plantainshed_gateway.ports import Item
 from plantainshed_platform.decoding import PlatformDecoder
 from tests.platform.platform_support import HOST, configuration, route
@@ -16,35 +16,31 @@
 
 
 class TestRoutes(unittest.TestCase):
-    def test_only_the_invalid_route_is_unusable(self):
-        """Guards against one route that makes the whole configuration invalid."""
-        bad = route("bad", "/read/bad/")
+    def test_invalid_value_of_one_route_rejects_the_whole_configuration(self):
+        """Guards against a version of which only a part is in force."""
+        good = route("bad", "/read/bad/")
         for field, path in (
-            ("timeout", without(bad, "timeout")),
-            ("timeout", {**bad, "timeout": {"total": "1s"}}),
-            ("kind", without(bad, "kind")),
-            ("kind", {**bad, "kind": 3}),
-            ("attempts", {**bad, "attempts": -1}),
-            ("homeRegions", {**bad, "homeRegions": "lombardia"}),
-            ("weight", {**bad, "backends": [{"service": "calendario"}]}),
-            ("public", {**bad, "public": "yes"}),
-            ("name", without(bad, "name")),
+            ("timeout", without(good, "timeout")),
+            ("timeout", {**good, "timeout": {"total": "1s"}}),
+            ("kind", without(good, "kind")),
+            ("kind", {**good, "kind": 3}),
+            ("kind", {**good, "kind": ""}),
+            ("attempts", {**good, "attempts": -1}),
+            ("priority", {**good, "priority": "high"}),
+            ("homeRegions", {**good, "homeRegions": "lombardia"}),
+            ("weight", {**good, "backends": [{"service": "calendario"}]}),
+            ("public", {**good, "public": "yes"}),
+            ("name", without(good, "name")),
+            ("prefix", {**good, "prefix": "/bad"}),
+            ("prefix", without(good, "prefix")),
+            ("timeout", {**good, "timeout": 1, "kind": "stream", "shape": 1}),
+            ("(whole object)", None),
+            ("(whole object)", "/bad/"),
         ):
-            found = decode(configuration(paths=[route(), path]))
-            self.assertEqual([p.field for p in found.problems], [field], path)
-            self.assertIsInstance(found.route_for(HOST, "/read/1"), Route)
-            self.assertIsInstance(found.route_for(HOST, "/read/bad/1"), UnusableRoute)
-            self.assertIsNone(found.route_for(HOST, "/other/"))
-
-    def test_route_without_a_readable_prefix_gets_what_no_other_route_serves(self):
-        """Its requests must not get 404, after which callers do not retry."""
-        for path in (route(prefix="/bad"), without(route(), "prefix"), None, "/bad/"):
-            found = decode(configuration(paths=[route(), path]))
-            self.assertEqual(len(found.problems), 1)
-            self.assertIsInstance(found.route_for(HOST, "/bad/1"), UnusableRoute)
-            self.assertIsInstance(found.route_for(HOST, "/read/1"), Route)
-            root = decode(configuration(paths=[route("root", "/"), path]))
-            self.assertEqual(root.route_for(HOST, "/bad/1").name, "root")
+            for paths in ([route(), path], [path, route()]):
+                with self.assertRaises(BadItem, msg=path) as caught:
+                    decode(configuration(paths=paths))
+                self.assertEqual(caught.exception.field, field, path)
 
     def test_unknown_kind_or_field_is_reported_and_the_route_served(self):
         paths = [route(kind="stream"), route("b", "/b/", kind="upload", shape={"a": 1})]
@@ -54,15 +50,12 @@
         self.assertEqual(kinds, [RequestKind.NON_IDEMPOTENT, RequestKind.UPLOAD])
 
     def test_of_two_routes_with_one_prefix_the_last_counts(self):
-        usable, bad = route("usable"), route("bad", timeout=1)
-        for paths, name in (([usable, bad], "bad"), ([bad, usable], "usable")):
-            found = decode(configuration(paths=paths))
-            self.assertEqual(found.route_for(HOST, "/read/1").name, name)
+        found = decode(configuration(paths=[route("a"), route("b")]))
+        self.assertEqual(found.route_for(HOST, "/read/1").name, "b")
 
 
 class TestWholeConfiguration(unittest.TestCase):
     def test_invalid_as_a_whole(self):
-        """What concerns more than one route keeps the previous version in force."""
         good = configuration()
         service, tenant, host = (good[k][0] for k in ("services", "tenants", "hosts"))
         for bad in (
@@ -82,6 +75,15 @@
             with self.assertRaises(BadItem, msg=bad):
                 decode(bad)
 
+    def test_empty_keys_are_ignored_and_reported(self):
+        """Guards against keys that admit requests without a key."""
+        for keys in ([""], ["", "a", ""]):
+            found = decode(configuration(tenants=[{"name": "w", "apiKeys": keys}]))
+            self.assertEqual(set(found.workspace_by_key), set(keys) - {""})
+            self.assertTrue(found.requires_keys)
+            places = [(problem.name, problem.field) for problem in found.problems]
+            self.assertEqual(places, [("main/tenants[0]", "apiKeys")])
+
     def test_keys_are_not_part_of_the_error(self):
         """Guards against keys in the log line about an invalid workspace."""
         with self.assertRaises(BadItem) as caught:
--- a/tests/platform/test_fuzz.py
+++ b/tests/platform/test_fuzz.py
@@ -102,10 +102,9 @@
         else:
             self.assertEqual(len(taken.routes), len(value["hosts"] or []))
             for host in value["hosts"] or []:
-                # A problem of a route costs no other route.
-                usable = len(taken.routes[host["host"].lower()])
-                lost = len(host["paths"] or []) - usable
-                self.assertLessEqual(max(0, lost), len(taken.problems))
+                prefixes = {path["prefix"] for path in host["paths"] or []}
+                self.assertEqual(set(taken.routes[host["host"].lower()]), prefixes)
+            self.assertNotIn("", taken.workspace_by_key)
 
     @PROFILE
     @given(mutated(configuration()) | JSON)
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -493,43 +493,52 @@
     @on_real_clock
     async def test_invalid_version_is_logged_with_its_field_and_ignored(self):
         async with running_system() as system:
-            bad = configuration(9, [route("new", "/new/")])
-            bad["services"][0]["warmup"] = 12
+            bad = configuration(9)
+            bad["hosts"][0]["paths"][0]["timeout"] = 12
             system.store.put("config", "main", bad)
             await system.until(lambda: system.lines("object not usable"))
-            self.assertEqual(system.lines("object not usable")[0]["field"], "warmup")
+            self.assertEqual(system.lines("object not usable")[0]["field"], "timeout")
             self.assertEqual((await system.ask())[0], 200)
-            self.assertEqual((await system.ask("/new/1"))[0], 404)
 
     @on_real_clock
-    async def test_invalid_route_costs_this_route_only(self):
-        """Guards against VMs that do not become ready because of one route.
+    async def test_nothing_of_an_invalid_version_is_in_force(self):
+        """Guards against a version that is used without its invalid route."""
+        paths = [route("new", "/new/"), route("bad", "/read/", timeout=12)]
+        async with running_system(1) as system:
+            system.store.put("config", "main", configuration(9, paths))
+            await system.until(lambda: system.lines("object not usable"))
+            self.assertEqual(system.gateway.admission.configuration.version, 7)
+            self.assertEqual((await system.ask("/new/1"))[0], 404)
+            self.assertEqual((await system.ask("/open/1", key=""))[0], 200)
 
-        Its requests must not get 404 or 401, after which callers do not retry.
-        """
-        paths = [route(), route("bad", "/read/bad/", timeout=12)]
-        paths.append(route("new", "/new/", kind="of a newer build", attempts=3))
-        async with running_system(2, configuration(paths=paths)) as system:
+    @on_real_clock
+    async def test_unknown_kind_and_empty_key_do_not_reject_the_configuration(self):
+        """Guards against VMs that do not become ready, and requests without a key."""
+        paths = [route(), route("new", "/new/", kind="of a newer build", attempts=3)]
+        tenants = [{"name": "w", "apiKeys": ["", KEY]}, {"name": "v", "apiKeys": [""]}]
+        first = configuration(paths=paths, tenants=tenants)
+        async with running_system(2, first) as system:
             self.assertEqual((await system.ask())[0], 200)
+            for authorization in ({}, {"authorization": "Basic eDo="}):
+                status, _, body = await system.ask(key="", **authorization)
+                self.assertEqual(status, 401)
+                self.assertIn(b"unknown_key", body)
             for target in system.targets:
                 target.runs.clear()
                 target.response_faults = ["reset"]
             self.assertEqual((await system.ask("/new/1"))[0], 502)
             self.assertEqual(sum(len(target.runs) for target in system.targets), 1)
-            status, headers, body = await system.ask("/read/bad/1", key="")
-            self.assertEqual((status, float(headers["retry-after"])), (503, 1.0))
-            self.assertIn(b"route_unusable", body)
             system.store.put("config", "main", configuration(6))
             system.store.put("evacuations", "far", {})
             await system.until(lambda: system.lines("evacuations changed"))
             lines = system.lines("configuration item not usable")
             self.assertEqual(
                 [(line["version"], line["field"]) for line in lines],
-                [(7, "timeout"), (7, "kind")],
+                [(7, "kind"), (7, "apiKeys"), (7, "apiKeys")],
             )
             system.gateway.measure()
             text = system.gateway.context.metrics.render().decode()
-            self.assertIn("plantainshed_configuration_problems 2", text)
+            self.assertIn("plantainshed_configuration_problems 3", text)
 
     @on_real_clock
     async def test_malformed_entry_does_not_affect_valid_ones(self):
