--- a/packages/gateway/plantainshed_gateway/model.py
+++ b/packages/gateway/plantainshed_gateway/model.py
@@ -9,10 +9,14 @@
 
 
 class RequestKind(StrEnum):
-    """Whether a request with an unknown outcome may be sent again."""
+    """Whether a request with an unknown outcome may be sent again.
+
+    An upload is a request with a large body. It is handled as non-idempotent.
+    """
 
     IDEMPOTENT = "idempotent"
     NON_IDEMPOTENT = "non_idempotent"
+    UPLOAD = "upload"
 
 
 @frozen
@@ -124,6 +128,23 @@
     idle_timeout_s: float = 15.0
 
 
+@frozen
+class ItemProblem:
+    """What is wrong with a part of a configuration that is otherwise in force.
+
+    Parameters
+    ----------
+    name : str
+        Where the item is, such as ``main/hosts[0]/paths[2]``.
+    field, problem : str
+        The field, and what is wrong with it.
+    """
+
+    name: str
+    field: str
+    problem: str
+
+
 @frozen
 class Configuration:
     """One version of the complete configuration.
@@ -138,6 +159,8 @@
     requires_keys : bool
         Whether requests on routes that are not public need a key.
     limits : CallerLimits
+    problems : tuple of ItemProblem
+        Items that this VM does not know or ignores; the others are in force.
     """
 
     version: int
@@ -146,6 +169,7 @@
     workspace_by_key: dict[str, Workspace]
     requires_keys: bool
     limits: CallerLimits
+    problems: tuple[ItemProblem, ...] = ()
 
     def route_for(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching path prefix, or None."""
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -190,6 +190,20 @@
                 runs = [run for target in system.targets for run in target.runs]
                 self.assertEqual(len(runs), 1, fault)
 
+    @on_real_clock
+    async def test_upload_is_served_and_never_sent_twice(self):
+        """Guards against a configuration that is rejected because of this kind."""
+        first = configuration(paths=[route("up", "/up/", kind="upload", attempts=3)])
+        async with running_system(2, first) as system:
+            for target in system.targets:
+                target.response_faults = ["reset"]
+            body = b"x" * 300_000
+            status, headers, _ = await system.ask("/up/1", "PUT", body=body)
+            self.assertEqual(status, 502)
+            self.assertNotIn("retry-after", headers)
+            runs = [run for target in system.targets for run in target.runs]
+            self.assertEqual([run.body for run in runs], [body])
+
     @on_real_clock
     async def test_error_answer_of_a_target_is_passed_on_unchanged(self):
         async with running_system(2) as system:
@@ -486,6 +500,46 @@
             self.assertEqual(system.lines("object not usable")[0]["field"], "timeout")
             self.assertEqual((await system.ask())[0], 200)
 
+    @on_real_clock
+    async def test_nothing_of_an_invalid_version_is_in_force(self):
+        """Guards against a version that is used without its invalid route."""
+        paths = [route("new", "/new/"), route("bad", "/read/", timeout=12)]
+        async with running_system(1) as system:
+            system.store.put("config", "main", configuration(9, paths))
+            await system.until(lambda: system.lines("object not usable"))
+            self.assertEqual(system.gateway.admission.configuration.version, 7)
+            self.assertEqual((await system.ask("/new/1"))[0], 404)
+            self.assertEqual((await system.ask("/open/1", key=""))[0], 200)
+
+    @on_real_clock
+    async def test_unknown_kind_and_empty_key_do_not_reject_the_configuration(self):
+        """Guards against VMs that do not become ready, and requests without a key."""
+        paths = [route(), route("new", "/new/", kind="of a newer build", attempts=3)]
+        tenants = [{"name": "w", "apiKeys": ["", KEY]}, {"name": "v", "apiKeys": [""]}]
+        first = configuration(paths=paths, tenants=tenants)
+        async with running_system(2, first) as system:
+            self.assertEqual((await system.ask())[0], 200)
+            for authorization in ({}, {"authorization": "Basic eDo="}):
+                status, _, body = await system.ask(key="", **authorization)
+                self.assertEqual(status, 401)
+                self.assertIn(b"unknown_key", body)
+            for target in system.targets:
+                target.runs.clear()
+                target.response_faults = ["reset"]
+            self.assertEqual((await system.ask("/new/1"))[0], 502)
+            self.assertEqual(sum(len(target.runs) for target in system.targets), 1)
+            system.store.put("config", "main", configuration(6))
+            system.store.put("evacuations", "far", {})
+            await system.until(lambda: system.lines("evacuations changed"))
+            lines = system.lines("configuration item not usable")
+            self.assertEqual(
+                [(line["version"], line["field"]) for line in lines],
+                [(7, "kind"), (7, "apiKeys"), (7, "apiKeys")],
+            )
+            system.gateway.measure()
+            text = system.gateway.context.metrics.render().decode()
+            self.assertIn("plantainshed_configuration_problems 3", text)
+
     @on_real_clock
     async def test_malformed_entry_does_not_affect_valid_ones(self):
         async with running_system(1) as system:
