--- a/packages/gateway/plantainshed_gateway/selection/choice.py
+++ b/packages/gateway/plantainshed_gateway/selection/choice.py
@@ -25,13 +25,14 @@
 from .load_reports import FleetLoad
 from .owners import RESERVE, OwnerCounts
 from .registry import Registry, TargetState
+from .returning import Returning
 from .round_trips import RoundTrips
 from .run_times import RunTimes
-from .shedding import PoolRoom, Shedding
+from .shedding import PoolRoom, Shedding, rank_of
 
 # Difference of expected times, in run times, at which a target is chosen e times less
 # often.
-SPREAD_RUNS = 0.15
+SPREAD_RUNS = 0.4
 # Number of other targets whose load is compared with that of the owners.
 OTHERS_COMPARED = 2
 # How much sooner, in run times, a target that does not own the object must be expected
@@ -81,8 +82,23 @@
         self.shedding = Shedding(
             fleet_load, self.expected_times, self.run_times, registry
         )
+        self.returning = Returning()
         self.random = random.Random()
 
+    def admits(self, call: Call, room: PoolRoom) -> bool:
+        """Return whether a request may use its pool now.
+
+        The first attempt of a request is counted as offered, whatever the result. A
+        retry is always admitted: it was before, and a target may have worked on it.
+        """
+        if call.attempts:
+            return True
+        elapsed_s = self.returning.elapsed_s(call)
+        soonest_s = elapsed_s + self._run_s(call.pool)
+        rank = rank_of(call.priority, soonest_s > call.route.objective_s)
+        self.fleet_load.own.note_offered(call.pool, rank, call.object_key)
+        return self.shedding.admits(room, call.pool, rank, call.workspace_name)
+
     def owner_count(self, call: Call, object_key: str, slots: int) -> int:
         """Return the number of an object's owners, including the reserve."""
         busy = self.owners.busy_owners(object_key, call.pool, slots)
--- a/packages/gateway/plantainshed_gateway/selection/load_reports.py
+++ b/packages/gateway/plantainshed_gateway/selection/load_reports.py
@@ -19,8 +19,9 @@
 import trio
 from attrs import define, field, frozen
 
-# Averaging time of requests in flight. It spans two heartbeats and several runs.
-IN_FLIGHT_AVERAGING_S = 1.0
+# Averaging time of requests in flight. It is longer than reports are old; otherwise all
+# VMs react to load that is gone, and targets are busy in turns.
+IN_FLIGHT_AVERAGING_S = 2.0
 # Averaging time of request rates and runs.
 RATE_AVERAGING_S = 3.0
 # Age above which a report no longer counts: three summaries between failure domains.
@@ -47,7 +48,7 @@
         Mean number of requests in flight at each target, by instance.
     offered : dict of str to dict of int to float
         Requests per second that callers asked for, refused ones included, by pool and
-        priority.
+        rank; see `shedding.rank_of`.
     objects : dict of str to float
         Requests per second for the most requested objects, by object key.
     runs : dict of str to (float, float)
@@ -116,9 +117,9 @@
             average = self._in_flight[instance] = _Average()
         average.set(in_flight)
 
-    def note_offered(self, pool: str, priority: int, object_key: str | None):
+    def note_offered(self, pool: str, rank: int, object_key: str | None):
         """Record a request of a caller, whether it is admitted or not."""
-        self._offered.setdefault((pool, priority), Rate()).add()
+        self._offered.setdefault((pool, rank), Rate()).add()
         if object_key is None:
             return
         if len(self._objects) >= MAX_MEASURED_OBJECTS:
@@ -143,9 +144,9 @@
             if average < MIN_IN_FLIGHT and not self._in_flight[instance].value:
                 del self._in_flight[instance]
         offered: dict[str, dict[int, float]] = {}
-        for (pool, priority), rate in self._offered.items():
+        for (pool, rank), rate in self._offered.items():
             if rate.current() >= MIN_RATE:
-                offered.setdefault(pool, {})[priority] = round(rate.rate, 2)
+                offered.setdefault(pool, {})[rank] = round(rate.rate, 2)
         return LoadReport(
             targets=largest(in_flight, MAX_TARGETS, MIN_IN_FLIGHT),
             offered=offered,
@@ -158,10 +159,10 @@
         )
 
     def offered_rates(self, pool: str) -> dict[int, float]:
-        """Return the requests per second of this VM's callers, by priority."""
+        """Return the requests per second of this VM's callers, by rank."""
         return {
-            priority: rate.current()
-            for (name, priority), rate in self._offered.items()
+            rank: rate.current()
+            for (name, rank), rate in self._offered.items()
             if name == pool
         }
 
@@ -268,7 +269,7 @@
     def offered(self, pool: str) -> dict[int, float]:
         """Return the requests per second that all callers ask a pool for.
 
-        The keys are priorities.
+        The keys are ranks; see `shedding.rank_of`.
         """
         total = dict(self.of_others().offered.get(pool, {}))
         _add(total, self.own.offered_rates(pool))
@@ -290,8 +291,8 @@
     for report in reports:
         _add(total.targets, report.targets)
         _add(total.objects, report.objects)
-        for pool, by_priority in report.offered.items():
-            _add(total.offered.setdefault(pool, {}), by_priority)
+        for pool, by_rank in report.offered.items():
+            _add(total.offered.setdefault(pool, {}), by_rank)
         for pool, (all_runs, first_runs) in report.runs.items():
             known = total.runs.get(pool, (0.0, 0.0))
             total.runs[pool] = (known[0] + all_runs, known[1] + first_runs)
--- a/packages/gateway/plantainshed_gateway/selection/placement.py
+++ b/packages/gateway/plantainshed_gateway/selection/placement.py
@@ -173,10 +173,7 @@
         eligible = self.registry.eligible(call.pool, call.home_regions)
         usable = usable_among(eligible)
         room = self.load_choice.shedding.room_of(call.pool, call.home_regions, usable)
-        # A retry was admitted before, and a target may have spent time on it.
-        if not call.attempts and not self.load_choice.shedding.admits(
-            room, call.pool, call.priority, call.workspace_name
-        ):
+        if not self.load_choice.admits(call, room):
             return None
         untried = [s for s in usable if s.entry.instance not in excluded]
         candidates = self._owners_by_load(call, eligible, untried)
--- a/packages/gateway/plantainshed_gateway/selection/shedding.py
+++ b/packages/gateway/plantainshed_gateway/selection/shedding.py
@@ -5,7 +5,9 @@
 before. So each VM refuses, at once, the part of the requests that the pool can't run:
 
 - The room goes to the most urgent requests first. Less urgent ones share what is left.
-- A less urgent request keeps a small part of the chances of all, so nobody starves.
+- Among equally urgent ones, requests that can still be answered within their objective
+  go before those that have come back too late for it.
+- Every request keeps a small part of the chances of all, so nobody starves.
 - Within a priority, a workspace that asks for more than its fair share of the room is
   refused first, so one large workspace can't take the room of all.
 
@@ -57,14 +59,14 @@
         Requests in flight per slot.
     chance : float
         Part of all offered requests that the pool can run.
-    by_priority : dict of int to float
-        Chance of a request to be admitted, by priority.
+    by_rank : dict of int to float
+        Chance of a request to be admitted, by rank; see `rank_of`.
     computed_at : float
     """
 
     occupancy: float = 0.0
     chance: float = 1.0
-    by_priority: dict[int, float] = field(factory=dict)
+    by_rank: dict[int, float] = field(factory=dict)
     computed_at: float = float("-inf")
 
     @property
@@ -137,11 +139,11 @@
         total = sum(offered.values())
         if total > capacity:
             room.chance = capacity / total
-            room.by_priority = chances(offered, capacity)
+            room.by_rank = chances(offered, capacity)
         return room
 
     def admits(
-        self, room: PoolRoom, pool: str, priority: int, workspace: str | None
+        self, room: PoolRoom, pool: str, rank: int, workspace: str | None
     ) -> bool:
         """Return whether a request may use a pool now, and count the request.
 
@@ -149,20 +151,21 @@
         ----------
         room : PoolRoom
         pool : str
-        priority : int
+        rank : int
+            See `rank_of`.
         workspace : str or None
         """
-        rates = self._by_workspace.setdefault((pool, priority), {})
+        rates = self._by_workspace.setdefault((pool, rank), {})
         rates.setdefault(workspace, Rate()).add()
         if not room.is_short:
             return True
-        of_priority = room.by_priority.get(priority, room.chance)
+        of_rank = room.by_rank.get(rank, room.chance)
         demand = {name: rate.current() for name, rate in rates.items()}
         if len(rates) > MAX_WORKSPACES:
-            self._by_workspace[pool, priority] = {
+            self._by_workspace[pool, rank] = {
                 name: rate for name, rate in rates.items() if rate.rate > MIN_RATE
             }
-        chance = fair_chance(demand, of_priority, workspace)
+        chance = fair_chance(demand, of_rank, workspace)
         return self.random.random() < max(chance, MIN_CHANCE * room.chance)
 
     def retry_after_s(self, seconds_left: float) -> float:
@@ -177,25 +180,37 @@
         return self.random.uniform(MIN_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, latest_s))
 
 
+def rank_of(priority: int, is_late: bool) -> int:
+    """Return the rank of a request; lower ranks are admitted first.
+
+    Parameters
+    ----------
+    priority : int
+        0 is the most urgent.
+    is_late : bool
+        Whether it can't be answered within its objective any more.
+    """
+    return 2 * priority + is_late
+
+
 def chances(offered: dict[int, float], capacity: float) -> dict[int, float]:
-    """Return which part of each priority's requests a capacity can run.
+    """Return which part of each rank's requests a capacity can run.
 
     Parameters
     ----------
     offered : dict of int to float
-        Requests per second by priority; 0 is the most urgent.
+        Requests per second by rank.
     capacity : float
         Requests per second.
     """
     least = MIN_CHANCE * min(1.0, capacity / max(sum(offered.values()), 1e-9))
-    reserved = least * sum(offered.values())
-    left = max(0.0, capacity - reserved)
+    left = capacity - least * sum(offered.values())
     result = {}
-    for priority in sorted(offered):
-        wanted = offered[priority] * (1.0 - least)
-        given = min(left, wanted)
+    for rank in sorted(offered):
+        wanted = offered[rank] * (1.0 - least)
+        given = max(0.0, min(left, wanted))
         left -= given
-        result[priority] = least + given / max(offered[priority], 1e-9)
+        result[rank] = least + given / max(offered[rank], 1e-9)
     return result
 
 
--- a/packages/measure/plantainshed_measure/placing_model.py
+++ b/packages/measure/plantainshed_measure/placing_model.py
@@ -278,8 +278,8 @@
 
     async def request(self, call: Call, outcome: Outcome) -> Refusal | None:
         """Serve a request; return a refusal if it does not run."""
-        key = f"{call.route.name}/{call.request.affinity}"
-        self.tracker.note_offered(call.pool, outcome.priority, key)
+        if not self.fleet.policy.counts_requests:
+            self.tracker.note_offered(call.pool, call.priority, call.object_key)
         chosen = self.fleet.policy.choose(self, call) or Refusal()
         if isinstance(chosen, Refusal):
             return chosen
@@ -396,7 +396,7 @@
         request_id = str(next(self._request_numbers))
         return Call(
             head=RequestHead("POST", "/", []),
-            request=CallerRequest(request_id, "host", "/", None, name, None),
+            request=CallerRequest(request_id, "host", "/", None, name, deadline - now),
             route=self.routes[priority],
             workspace=self.workspaces.get(workspace),
             body=b"",
--- a/packages/measure/plantainshed_measure/placing_policies.py
+++ b/packages/measure/plantainshed_measure/placing_policies.py
@@ -102,10 +102,13 @@
     ----------
     name : str
     choose : ChooseTarget
+    counts_requests : bool
+        Whether `choose` records itself what callers ask for.
     """
 
     name: str
     choose: ChooseTarget
+    counts_requests: bool = False
 
 
 def choose_like_gateway(vm: PolicyVm, call: Call) -> TargetState | Refusal:
@@ -236,7 +239,7 @@
 def policies() -> dict[str, PlacementPolicy]:
     """Return new instances of all policies, by name."""
     known = (
-        PlacementPolicy("chosen", choose_like_gateway),
+        PlacementPolicy("chosen", choose_like_gateway, counts_requests=True),
         PlacementPolicy("by-answers", choose_by_answers),
         PlacementPolicy("one-owner", choose_single_owner),
         PlacementPolicy("least-loaded", choose_least_loaded),
