--- a/packages/gateway/plantainshed_gateway/gateway.py
+++ b/packages/gateway/plantainshed_gateway/gateway.py
@@ -16,6 +16,7 @@
 from .freshness_poller import FreshnessPoller, poll_interval_s
 from .health_checks import HealthChecks
 from .heartbeats import Heartbeat, VmState
+from .load_sharing import LoadSharing
 from .loans import Loans
 from .lookup import LookupTable
 from .members import Members
@@ -32,6 +33,7 @@
 from .relaying import Relaying
 from .replication import Follower
 from .retry_budget import RetryBudgets
+from .selection.choice import LoadAwareChoice
 from .selection.cold import ColdTargets
 from .selection.placement import Placement
 from .selection.queueing import QueueLimits
@@ -123,6 +125,9 @@
         self.target_limits = TargetLimits(self.registry, self.members, context.log)
         self.permits = Permits(self.target_limits, self.peers.send, self.round_trips)
         self.queues = QueueLimits(self.round_trips)
+        self.load_sharing = LoadSharing(
+            settings.share_load, self.members, self.registry, context.log
+        )
         self.placement = Placement(
             settings.region,
             self.registry,
@@ -131,6 +136,9 @@
             self.queues,
             self.connections,
             self.round_trips,
+            LoadAwareChoice(
+                self.load_sharing.fleet_load, self.registry, self.round_trips
+            ),
         )
         self.forwarder = Forwarder(
             platform_adapter.wire,
@@ -159,6 +167,7 @@
                 self.round_trips,
                 context.log,
             ),
+            self.load_sharing,
         )
         self.lookup = LookupTable(self.members, settings.bounds.longest_ttl_s)
         self.followers = {
@@ -189,6 +198,7 @@
             self.speakers,
             self.loans,
             self.permits,
+            self.load_sharing,
             self.poison,
             self.followers,
             context.log,
@@ -198,18 +208,25 @@
         self._nursery: trio.Nursery | None = None
 
     def apply_settings(self, new: Settings) -> Settings:
-        """Apply the settings that may change at run time: bounds and seeds.
+        """Apply the settings that may change at run time.
 
+        These are the bounds, the seeds, and whether load reports are exchanged.
         Returns the settings in force. All other settings need a restart: a changed
         address would be announced to other VMs and callers although nothing listens
         on it yet, and requests to it would be lost.
         """
-        settings = evolve(self.context.settings, bounds=new.bounds, seeds=new.seeds)
+        settings = evolve(
+            self.context.settings,
+            bounds=new.bounds,
+            seeds=new.seeds,
+            share_load=new.share_load,
+        )
         self.context.settings = settings
         self.retries.bounds = settings.bounds
         self.cold.bounds = settings.bounds
         self.quotas.bounds = settings.bounds
         self.lookup.limit_ttl(settings.bounds.longest_ttl_s)
+        self.load_sharing.share_load = settings.share_load
         self.peers.seeds = _ips(settings.seeds)
         return settings
 
@@ -269,9 +286,7 @@
 
     # Communication with other VMs.
 
-    def _own_heartbeat(
-        self, newest_revisions: dict, usage: dict, **vm_list
-    ) -> Heartbeat:
+    def _own_heartbeat(self, newest_revisions: dict, usage: dict, **more) -> Heartbeat:
         settings = self.context.settings
         self.heartbeat_number += 1
         return Heartbeat(
@@ -288,7 +303,7 @@
             newest_revisions=newest_revisions,
             usage=usage,
             crashes=self.poison.recent_crashes(),
-            **vm_list,
+            **more,
         )
 
     def _make_heartbeat(self) -> Heartbeat:
@@ -304,6 +319,8 @@
             is_vm_list_complete=self.members.is_listed,
             is_cut_off=self.reach.is_cut_off,
             limits=self.target_limits.reports(),
+            needs_load=self.load_sharing.needs_reports,
+            load=self.load_sharing.make_report(),
         )
 
     async def _announce_reach(self):
@@ -321,6 +338,7 @@
                 await self._catch_up_after(paused_s)
             self.quotas.recompute_shares()
             self.target_limits.refresh()
+            self.load_sharing.refresh()
             self.reach.check_silence()
             self.registry.drop_expired()
             self.connections.close_idle(set(self.registry.states))
@@ -345,6 +363,7 @@
             metrics.configuration_problems.set({}, len(configuration.problems))
         metrics.targets_unreachable.set({}, int(self.reach.is_cut_off))
         metrics.limited_targets.set({}, len(self.target_limits.limited))
+        self.load_sharing.measure(metrics)
         self.fleet_view.measure()
 
     async def _catch_up_after(self, paused_s: float):
