--- a/packages/gateway/plantainshed_gateway/ports.py
+++ b/packages/gateway/plantainshed_gateway/ports.py
@@ -122,11 +122,23 @@
 
 @frozen
 class TargetLoad:
-    """A target's load report: running and waiting requests, and its slots."""
+    """A target's load report.
+
+    Parameters
+    ----------
+    running, waiting : int
+        Requests at the target.
+    slots : int
+        Maximum number of concurrent requests.
+    slowdown : float
+        How long work currently takes on the target's machine, as a multiple of the
+        usual time.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float = 1.0
 
 
 @frozen
