Notice callers that leave behind pipelined requests

Cause: once a connection had unread data, it was no longer checked, since peeking at the data cannot show the end of the stream behind it. The current request then ran on, and the next one was started, for a caller that had left.

Change: connections are polled for POLLRDHUP, which is reported also while data is unread. After a caller was seen to disconnect, requests that it has pipelined are not handled. As before, a caller that closes only its sending side counts as gone; this now holds also while it has unread requests.

Not covered: if the caller has sent more than the kernel's receive buffer holds, the end of its stream cannot arrive, and the request runs to its deadline.

--- a/packages/http/plantainshed_http/disconnects.py
+++ b/packages/http/plantainshed_http/disconnects.py
@@ -15,6 +15,10 @@
 # Interval of the checks. A caller's request is cancelled this long after the caller
 # has disconnected, at the latest.
 CHECK_INTERVAL_S = 0.2
+# Reported as soon as the caller has closed its side, also while data is unread. Some
+# systems don't have it; there, unread data hides that the caller has disconnected.
+CLOSED_BY_PEER = getattr(select, "POLLRDHUP", 0)
+DISCONNECTED = CLOSED_BY_PEER | select.POLLHUP | select.POLLERR
 
 
 @define
@@ -39,7 +43,7 @@
         """Call `on_disconnect` if the caller disconnects before `unwatch`."""
         descriptor = stream.socket.fileno()
         self.watched[descriptor] = stream, on_disconnect
-        self.poll.register(descriptor, select.POLLIN)
+        self.poll.register(descriptor, select.POLLIN | CLOSED_BY_PEER)
         self.is_needed.set()
 
     def unwatch(self, stream: TcpStream):
@@ -59,10 +63,12 @@
 
     def check(self):
         """Check all watched connections now."""
-        for descriptor, _ in self.poll.poll(0):
+        for descriptor, events in self.poll.poll(0):
             stream, on_disconnect = self.watched[descriptor]
-            # A connection with data has a pipelined request, so its caller is there.
-            # It is not checked again, because the data hides the end of the stream.
-            self.unwatch(stream)
-            if stream.is_ended:
+            if events & DISCONNECTED or stream.is_ended:
+                self.unwatch(stream)
                 on_disconnect()
+            else:
+                # The data is a pipelined request, which stays unread until the current
+                # one is answered. It must not be reported by each check until then.
+                self.poll.modify(descriptor, CLOSED_BY_PEER)
--- a/packages/http/plantainshed_http/server.py
+++ b/packages/http/plantainshed_http/server.py
@@ -3,6 +3,13 @@
 `serve_http` accepts connections until its `Stopping` is set. After that, open
 connections finish their current exchange, and responses that begin from then on
 carry ``Connection: close``.
+
+Requests that a caller pipelines are handled one after the other. The next one is
+parsed only after the response to the current one, and the socket is read only if the
+parser needs more data, so at most `MAX_HEAD_BYTES` and one read of `READ_BYTES` are
+buffered for a connection. The rest stays in the kernel's buffers, whose size limits
+what the caller can send. Requests behind a response with ``Connection: close`` are
+discarded unread.
 """
 
 import contextlib
@@ -266,7 +273,8 @@
         Without it, a request keeps running at its target and occupies a slot
         there, although the caller has disconnected. Use it only after the body
         has been read: the next bytes are then either the end of the stream or
-        the start of another request.
+        the start of another request. A caller that has pipelined more than fits into
+        the kernel's receive buffer cannot be seen to disconnect.
         """
         with trio.CancelScope() as scope:
             self._on_disconnect = scope.cancel
@@ -324,7 +332,12 @@
                 return
             if request is None:
                 return
-            await self._serve_one(Exchange(self, request, self.caller), report)
+            exchange = Exchange(self, request, self.caller)
+            await self._serve_one(exchange, report)
+            if exchange.caller_disconnected:
+                # Nobody receives the responses to requests that it has pipelined.
+                await self._linger()
+                return
             # Close only after a response with "Connection: close". Otherwise the
             # caller's next request may already be in transit and would be lost.
             if self.h11.our_state is not h11.DONE:
