Count answers that do not end as failures of their target

Cause: a cancelled attempt counted as a failure only if its target had been silent for half of the route's timeout, and the head of any answer ends that silence. A target that answers 200 and never ends its bodies kept its share of the requests. After an ejection, the first head ended the trial, too.

Change: once the head of an answer has arrived, a cancelled attempt counts as failed (reason unended_answer) if the target took at least half of the route's timeout for what has arrived. Time in which parts were being sent to the caller is the caller's. It does not count if the caller has left or this VM reaches no target. A target whose answers did not end stays on trial until one does. Before the head has arrived, the rule for silent targets applies as before.

--- a/packages/gateway/plantainshed_gateway/call.py
+++ b/packages/gateway/plantainshed_gateway/call.py
@@ -8,6 +8,7 @@
 from .model import Route, Workspace
 from .ports import CallerRequest
 from .relay_messages import RelayedRequest
+from .response_progress import ResponseProgress
 from .selection.registry import TargetState
 
 
@@ -48,6 +49,8 @@
     load, load_age_s : float or None
         Expected load of the instance chosen last, at that time, and the age of its
         load report. `load_age_s` is None if there was no report.
+    progress : ResponseProgress
+        How far the response to the last attempt has got.
     fingerprint : str
         Identifies the same request when it is repeated; see `PoisonTracker`.
     """
@@ -69,6 +72,7 @@
     tried: list[str] = field(factory=list)
     load: float | None = None
     load_age_s: float | None = None
+    progress: ResponseProgress = field(factory=ResponseProgress)
     fingerprint: str = ""
 
     def apply_relayed(self, relayed: RelayedRequest):
--- a/packages/gateway/plantainshed_gateway/forwarding.py
+++ b/packages/gateway/plantainshed_gateway/forwarding.py
@@ -1,6 +1,7 @@
 """Forwarding: sends a request to one target and reads the answer."""
 
 import contextlib
+from collections.abc import AsyncIterator
 
 import trio
 from attrs import frozen
@@ -141,7 +142,9 @@
         sent_at: float,
     ) -> Answer:
         for _ in range(1 + MAX_SKIPPED_ANSWERS):
+            call.progress.has_begun = False
             head = await connection.response_head()
+            call.progress.has_begun = True
             state.note_answer()
             self.connections.reach.note_answer(is_first=connection.idle_s == 0)
             metadata = self.wire.read_answer(head)
@@ -159,7 +162,9 @@
         state.note_load(metadata.load)
         if metadata.cold_for_s:
             state.note_cold(metadata.cold_for_s)
-        return await self._validate(state, head, metadata, connection, sent_at)
+        await self._validate(state, head, metadata, connection, sent_at)
+        chunks = call.progress.track(connection.response_body())
+        return await buffer_body(head, chunks)
 
     async def _validate(
         self,
@@ -168,7 +173,8 @@
         metadata: TargetAnswer,
         connection: ClientConnection,
         sent_at: float,
-    ) -> Answer:
+    ):
+        """Take note of what an answer's head says, or raise `AttemptFailed`."""
         if metadata.is_other_instance:
             raise AttemptFailed(
                 Reason.OTHER_INSTANCE, "another instance uses this address", False
@@ -198,7 +204,6 @@
             raise AttemptFailed(
                 Reason.SPOILT_ANSWER, "the answer has no request id", True
             )
-        return await buffer_body(head, connection)
 
     def _note_retry_after(self, state: TargetState, seconds: float):
         state.note_retry_after(seconds)
@@ -218,11 +223,10 @@
     )
 
 
-async def buffer_body(head: ResponseHead, connection: ClientConnection) -> Answer:
+async def buffer_body(head: ResponseHead, chunks: AsyncIterator[bytes]) -> Answer:
     """Return an answer whose body is buffered, up to `MAX_BUFFERED_BYTES`."""
     buffered = []
     size = 0
-    chunks = connection.response_body()
     async for chunk in chunks:
         buffered.append(chunk)
         size += len(chunk)
--- a/packages/gateway/plantainshed_gateway/reasons.py
+++ b/packages/gateway/plantainshed_gateway/reasons.py
@@ -22,6 +22,7 @@
     SPOILT_ANSWER = "spoilt_answer"
     TARGET_ERROR = "target_error"
     TARGET_SILENT = "target_silent"
+    UNENDED_ANSWER = "unended_answer"
     CALLER_LEFT = "caller_left"
     POISON = "poison"
     WAS_PAUSED = "was_paused"
--- a/packages/gateway/plantainshed_gateway/relaying.py
+++ b/packages/gateway/plantainshed_gateway/relaying.py
@@ -204,7 +204,9 @@
     async def _read(self, connection: ClientConnection) -> Answer:
         head = await connection.response_head()
         reason = head.header(REFUSED_HEADER)
-        answer = await buffer_body(without_relay_headers(head), connection)
+        answer = await buffer_body(
+            without_relay_headers(head), connection.response_body()
+        )
         if reason is not None:
             raise _failure(head, reason, answer.body)
         used = head.header(CONFIGURATION_HEADER) or ""
--- a/packages/gateway/plantainshed_gateway/selection/registry.py
+++ b/packages/gateway/plantainshed_gateway/selection/registry.py
@@ -78,6 +78,8 @@
         run since.
     is_leaving : bool
         Whether an answer of the target said that it is about to stop.
+    has_unended : bool
+        Whether an answer of the target did not end since it last answered completely.
     expired_at : float or None
         When the entry was found to have expired; None while it is present.
     """
@@ -97,6 +99,7 @@
     ejected_until: float = 0.0
     retry_at: float = float("-inf")
     is_leaving: bool = False
+    has_unended: bool = False
     expired_at: float | None = None
 
     @property
@@ -128,12 +131,13 @@
     def is_on_trial(self) -> bool:
         """Whether an ejection has ended and the target has not answered since.
 
-        It then gets one request at a time, and the next failure ejects it again.
+        It then gets one request at a time, and the next failure ejects it again. If
+        answers did not end, only a complete answer ends the trial: heads still arrive.
         """
         return (
             self.ejections > 0
             and not self.is_ejected
-            and self.answered_at < self.ejected_until
+            and (self.has_unended or self.answered_at < self.ejected_until)
         )
 
     def is_usable_at(self, now: float) -> bool:
@@ -189,6 +193,7 @@
         """Reset the failure counters after a complete response."""
         self.failures = 0
         self.ejections = 0
+        self.has_unended = False
         if self.wants_requests_at(trio.current_time()):
             self.retry_at = float("-inf")
 
@@ -227,6 +232,11 @@
         self.ejections += 1
         self.failures = 0
 
+    def note_unended(self):
+        """Count an answer that did not end in time as a failed request."""
+        self.has_unended = True
+        self.note_failure()
+
     def note_unreachable(self):
         """Eject a target that refuses connections or is now another instance."""
         self.ejected_until = max(
@@ -346,6 +356,7 @@
         """End all ejections; used when the failures were not the targets' own."""
         for state in self.states.values():
             state.failures = state.ejections = 0
+            state.has_unended = False
             state.ejected_until = 0.0
 
     def drop_expired(self):
--- a/packages/gateway/plantainshed_gateway/serving.py
+++ b/packages/gateway/plantainshed_gateway/serving.py
@@ -17,6 +17,7 @@
 from .admission import Admission
 from .answers import refusal_body, refusal_headers, send_answer
 from .call import Call
+from .cancelled_attempts import failure_of_cancelled
 from .context import Context
 from .errors import AttemptFailed, BadRequest, Refusal
 from .forwarding import Answer, Forwarder
@@ -34,6 +35,7 @@
     split_relayed,
 )
 from .relaying import Relaying
+from .response_progress import ResponseProgress
 from .retry_budget import RetryBudgets
 from .selection.placement import Placement
 from .selection.queueing import QueueLimits
@@ -336,6 +338,7 @@
         self, exchange: Exchange, call: Call, state: TargetState
     ) -> AttemptFailed | None:
         began_at = call.attempted_at = trio.current_time()
+        call.progress = ResponseProgress()
         if not call.attempts:
             self.retries.note_request(call.pool)
         call.attempts += 1
@@ -361,7 +364,9 @@
                 await self._check_crashed(call, state)
             return failure
         except trio.Cancelled:
-            self._check_silent(call, state, began_at)
+            failure = failure_of_cancelled(exchange, call, state, self.reach)
+            if failure is not None:
+                self._record_failure(call, state, failure)
             raise
         finally:
             state.in_flight -= 1
@@ -392,6 +397,8 @@
     def _record_failure(self, call: Call, state: TargetState, failure: AttemptFailed):
         if failure.reason in (Reason.CONNECT_FAILED, Reason.OTHER_INSTANCE):
             state.note_unreachable()
+        elif failure.reason is Reason.UNENDED_ANSWER:
+            state.note_unended()
         elif failure.reason not in (Reason.TARGET_BUSY, Reason.CUT_OFF):
             state.note_failure()
         self.log.event(
@@ -405,14 +412,6 @@
             seconds_left=round(call.seconds_left, 3),
         )
 
-    def _check_silent(self, call: Call, state: TargetState, sent_at: float):
-        """Count a cancelled attempt as failed if its target answered nobody."""
-        if state.is_silent_since(sent_at, call.route.timeout_s):
-            silence = AttemptFailed(
-                Reason.TARGET_SILENT, "no answer to this or any other request", True
-            )
-            self._record_failure(call, state, silence)
-
     async def _check_crashed(self, call: Call, state: TargetState):
         """Check whether the target crashed or only its answer was lost.
 
--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -5,6 +5,9 @@
 
 import trio
 
+from plantainshed_gateway.reasons import Reason
+from plantainshed_gateway.response_progress import ResponseProgress
+from plantainshed_gateway.selection.registry import FAILURES_TO_EJECT
 from plantainshed_http.errors import ConnectionBroken
 from tests.endless_server import (
     BEFORE_THE_BODY,
@@ -14,9 +17,10 @@
     running_endless,
 )
 from tests.platform.platform_support import LoopbackSystem, entry, running_system
-from tests.support import on_real_clock
+from tests.support import on_mock_clock, on_real_clock
 
 TURNED_AWAY = b"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n" + CHUNKED
+SIGNED = b"HTTP/1.1 200 OK\r\nServer-Seal: s\r\nRequest-Id: request\r\n"
 CHUNK = b"5\r\nbytes\r\n"
 # The timeout of the route and the time that it may be exceeded by.
 LONGEST_S = 1.2 + 0.5
@@ -83,10 +87,75 @@
     @on_real_clock
     async def test_signed_body_is_cut_at_the_deadline(self):
         """Guards against an answer that looks complete or never ends."""
-        first = b"HTTP/1.1 200 OK\r\nServer-Seal: s\r\nRequest-Id: request\r\n"
-        async with system_with(first + CHUNKED, CHUNK) as (system, server):
+        async with system_with(SIGNED + CHUNKED, CHUNK) as (system, server):
             status = 504
             with contextlib.suppress(ConnectionBroken):
                 status = await ask_until_reached(system, server, request_id="request")
             self.assertEqual(status, 504)
             await until_closed(server)
+
+
+class TestEjection(unittest.TestCase):
+    """A target answers 200 at once and never ends its bodies."""
+
+    @on_real_clock
+    async def test_target_is_ejected_and_stays_on_trial(self):
+        """Guards against a target that keeps its share of requests though none ends."""
+        async with system_with(SIGNED + CHUNKED, CHUNK, 0.1) as (system, _):
+            state = system.gateway.registry.states["i-endless"]
+            for _ in range(FAILURES_TO_EJECT):
+                self.assertFalse(state.is_ejected)
+                await self.ask_endless(system)
+            self.assertTrue(state.is_ejected)
+            await system.until(lambda: not state.is_ejected)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.ask_endless, system)
+                await system.until(lambda: call_has_begun(state))
+                self.assertTrue(state.is_on_trial)
+                self.assertFalse(state.is_usable_at(trio.current_time()))
+            self.assertTrue(state.is_ejected)
+            failed = system.lines("attempt failed")
+            self.assertEqual({f["reason"] for f in failed}, {Reason.UNENDED_ANSWER})
+
+    @on_real_clock
+    async def test_caller_that_leaves_and_a_cut_do_not_count(self):
+        """Guards against sound targets that are ejected for others' faults."""
+        async with system_with(SIGNED + CHUNKED, CHUNK, 0.1) as (system, _):
+            state = system.gateway.registry.states["i-endless"]
+            with trio.move_on_after(0.8):
+                await self.ask_endless(system)
+            await system.until(lambda: system.lines("dropped"))
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.ask_endless, system)
+                await system.until(lambda: call_has_begun(state))
+                system.gateway.reach.is_cut_off = True
+            self.assertEqual(state.failures, 0)
+
+    async def ask_endless(self, system: LoopbackSystem):
+        for other in system.gateway.registry.states.values():
+            if other.entry.instance != "i-endless":
+                other.ejected_until = trio.current_time() + 2
+        with contextlib.suppress(ConnectionBroken):
+            await system.ask(request_id="request")
+
+
+def call_has_begun(state) -> bool:
+    return bool(state.in_flight) and state.answered_at > trio.current_time() - 0.1
+
+
+class TestProgress(unittest.TestCase):
+    @on_mock_clock
+    async def test_time_that_a_slow_caller_takes_is_not_the_targets(self):
+        """Guards against callers that get targets ejected by reading slowly."""
+
+        async def chunks():
+            for _ in range(3):
+                await trio.sleep(1)
+                yield b"chunk"
+
+        progress = ResponseProgress(has_begun=True)
+        async for _ in progress.track(chunks()):
+            await trio.sleep(10)
+            self.assertLess(progress.target_s(0.0), 3.5)
+        self.assertAlmostEqual(progress.target_s(0.0), 3.0)
+        self.assertFalse(progress.has_begun)
