Cut off callers that do not read, and send large bodies without a copy

Cause: a caller that stops reading kept its response and its task for as long as it stayed connected, unless the handler set a deadline. A body that was to be sent was joined with its head, so it was in memory twice until its receiver had read it.

Change: a stream has write_timeout_s, the longest time for which the kernel's send buffer may stay full. The server sets it to idle_timeout_s; there is no limit by default. The client's attribute unsent is now outgoing; its test still checks that nothing is left to be sent.

--- a/packages/http/plantainshed_http/client.py
+++ b/packages/http/plantainshed_http/client.py
@@ -9,6 +9,7 @@
 
 from .errors import ConnectFailed, ConnectionBroken, UnsendableRequest
 from .messages import MAX_HEAD_BYTES, READ_BYTES, Headers, ResponseHead
+from .outgoing import Outgoing
 from .tcp import TcpStream, open_tcp_stream
 
 SOCKET_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError)
@@ -42,7 +43,7 @@
     idle_s : float
         How long the connection was idle before the current request; 0 for a new
         connection. Set by the connection pool that keeps it.
-    unsent : bytes
+    outgoing : Outgoing
         Encoded bytes that wait for the next send.
     """
 
@@ -52,7 +53,7 @@
         self.h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self.send_started = False
         self.idle_s = 0.0
-        self.unsent = b""
+        self.outgoing = Outgoing()
         self.method = "GET"
 
     @classmethod
@@ -230,17 +231,16 @@
 
     def _buffer_event(self, event):
         try:
-            self.unsent += self.h11.send(event) or b""
+            self.outgoing.add(self.h11.send(event))
         except h11.LocalProtocolError as error:
             raise ConnectionBroken(f"{self.address}: {error}") from error
 
     async def _send_event(self, event):
         self._buffer_event(event)
-        data, self.unsent = self.unsent, b""
-        if data:
+        if self.outgoing:
             self.send_started = True
             try:
-                await self.stream.send_all(data)
+                await self.outgoing.send(self.stream)
             except SOCKET_ERRORS as error:
                 raise ConnectionBroken(f"{self.address}: {error}") from error
 
--- a/packages/http/plantainshed_http/server.py
+++ b/packages/http/plantainshed_http/server.py
@@ -33,6 +33,7 @@
     Headers,
     RequestHead,
 )
+from .outgoing import Outgoing
 from .tcp import TcpStream
 
 Handler = Callable[["Exchange"], Awaitable[None]]
@@ -55,7 +56,8 @@
     head_timeout_s : float
         Longest time between the first and the last byte of a request head.
     idle_timeout_s : float
-        Longest pause between two exchanges, and between two chunks of a body.
+        Longest pause between two exchanges, between two chunks of a body, and while
+        the caller reads nothing of a response.
     """
 
     head_timeout_s: float = HEAD_TIMEOUT_S
@@ -220,6 +222,16 @@
                 return
             yield chunk
 
+    @property
+    def declared_length(self) -> int | None:
+        """Length of the request's body by its head; None if the head names none.
+
+        0 if the request has no body.
+        """
+        if self.request.header(b"transfer-encoding") is not None:
+            return None
+        return int(self.request.header(b"content-length") or 0)
+
     async def read_body(self, limit: int) -> bytes:
         """Return the whole body.
 
@@ -308,7 +320,7 @@
         self.limits = limits
         self.watcher = watcher
         self.method = b""
-        self.unsent = b""
+        self.unsent = Outgoing()
         self.h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
 
     async def run(self, report):
@@ -432,19 +444,19 @@
         if will_close or self.h11.their_state is not h11.DONE:
             headers = [*headers, (b"connection", b"close")]
         response = h11.Response(status_code=status, headers=headers)
-        self.unsent += self.h11.send(response)
+        self.unsent.add(self.h11.send(response))
 
     def buffer_body(self, chunk: bytes):
-        self.unsent += self.h11.send(h11.Data(data=chunk))
+        self.unsent.add(self.h11.send(h11.Data(data=chunk)))
 
     async def send_event(self, event):
-        self.unsent += self.h11.send(event) or b""
+        self.unsent.add(self.h11.send(event))
         await self.flush()
 
     async def flush(self):
-        data, self.unsent = self.unsent, b""
-        if data:
-            await self.stream.send_all(data)
+        if self.unsent:
+            self.stream.write_timeout_s = self.limits.idle_timeout_s
+            await self.unsent.send(self.stream)
 
     def _parse(self):
         try:
--- a/packages/http/plantainshed_http/tcp.py
+++ b/packages/http/plantainshed_http/tcp.py
@@ -8,6 +8,7 @@
 
 import contextlib
 import errno
+import math
 import os
 import socket
 
@@ -26,6 +27,12 @@
     ----------
     sock : socket.socket
         The stream owns it and closes it.
+
+    Attributes
+    ----------
+    write_timeout_s : float
+        Longest time for which the kernel's send buffer may stay full. A peer that does
+        not read would otherwise keep a task and the data for it in memory.
     """
 
     def __init__(self, sock: socket.socket):
@@ -34,25 +41,35 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.socket = sock
         self.reads_in_a_row = 0
+        self.write_timeout_s = math.inf
 
     def setsockopt(self, level: int, option: int, value: int):
         """Set an option of the socket."""
         self.socket.setsockopt(level, option, value)
 
     async def send_all(self, data: bytes):
-        """Send all bytes.
+        """Send all bytes, or raise `trio.BrokenResourceError`.
 
-        This is a checkpoint only if the kernel's send buffer is full.
+        It is raised also if the peer reads nothing for `write_timeout_s`. This is a
+        checkpoint only if the kernel's send buffer is full.
         """
         unsent = memoryview(data)
         while unsent:
             try:
                 unsent = unsent[self.socket.send(unsent) :]
             except BlockingIOError:
-                await trio.lowlevel.wait_writable(self.socket)
+                await self._wait_writable()
             except OSError as error:
                 raise _stream_error(error) from error
 
+    async def _wait_writable(self):
+        with trio.move_on_after(self.write_timeout_s) as scope:
+            await trio.lowlevel.wait_writable(self.socket)
+        if scope.cancelled_caught:
+            raise trio.BrokenResourceError(
+                f"the peer has read nothing for {self.write_timeout_s:g} s"
+            )
+
     async def receive_some(self, max_bytes: int) -> bytes:
         """Return received bytes, or no bytes at the end of the stream.
 
--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -31,7 +31,7 @@
                         await client.send_head("GET", target, headers)
                     self.assertEqual(caught.exception.status, 400)
                     self.assertFalse(client.send_started)
-                    self.assertEqual(client.unsent, b"")
+                    self.assertFalse(client.outgoing)
             head, body = await client.request("GET", "/last")
             self.assertEqual((head.status, body), (200, b"whole"))
         self.assertEqual(seen, ["/last"])
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -7,7 +7,7 @@
 
 from plantainshed_http import server
 from plantainshed_http.client import ClientConnection, connected
-from plantainshed_http.server import Stopping, serve_http
+from plantainshed_http.server import ConnectionLimits, Stopping, serve_http
 from tests.http_support import raw_exchange, serving
 from tests.support import on_real_clock
 
@@ -234,3 +234,24 @@
             ):
                 stopping.set()
                 await trio.sleep(0.05)
+
+
+class TestSlowReaders(unittest.TestCase):
+    @on_real_clock
+    async def test_caller_that_does_not_read_is_cut_off(self):
+        """Guards against responses that stay in memory for callers that stall."""
+        ended = trio.Event()
+
+        async def respond(exchange):
+            try:
+                await exchange.reply(200, [], b"x" * 30_000_000)
+            finally:
+                ended.set()
+
+        async with serving(respond, ConnectionLimits(idle_timeout_s=0.2)) as parts:
+            connection = await ClientConnection.open(parts[0], 2)
+            await connection.send_head("GET", "/", [(b"host", b"a")])
+            await connection.end_request()
+            with trio.fail_after(5):
+                await ended.wait()
+            connection.close()
--- a/tests/http_support.py
+++ b/tests/http_support.py
@@ -8,13 +8,13 @@
 
 
 @contextlib.asynccontextmanager
-async def serving(handler):
+async def serving(handler, limits=None):
     """Serve a handler on the loopback interface; yield address and `Stopping`."""
     listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
     port = listeners[0].socket.getsockname()[1]
     stopping = Stopping()
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(serve_http, handler, listeners, stopping)
+        nursery.start_soon(serve_http, handler, listeners, stopping, limits)
         yield f"127.0.0.1:{port}", stopping
         nursery.cancel_scope.cancel()
 
