Bound the memory for bodies of requests and answers

Cause: bodies were held up to the configured size for each request, without a bound over all of them; a slow sender could send one byte per idle timeout without end, and a target that read nothing kept the body until the deadline. A target closes a connection whose answer stays unread, so slow callers of long answers could get a part only.

Change: all exchanges share a budget for requests (0.25 of memory_mb, a new optional setting) and one for answers (0.1). A request that does not fit is refused with 503 and Retry-After before its body is read, and the body is discarded so that the refusal arrives. Slow senders lose their claim to memory and are answered 408. Answers beyond their budget are passed on as they arrive; long ones are read ahead of slow callers. A body with a declared length beyond maxBodyBytes is now refused before it is read.

--- a/packages/gateway/plantainshed_gateway/answers.py
+++ b/packages/gateway/plantainshed_gateway/answers.py
@@ -13,6 +13,7 @@
 from .errors import Refusal
 from .forwarding import Answer
 from .ports import Wire
+from .read_ahead import reading_ahead
 
 NO_BODY_STATUS = frozenset({HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED})
 
@@ -43,9 +44,10 @@
     """
     await exchange.start(answer.head.status, headers)
     try:
-        await exchange.send(answer.body)
-        async for chunk in answer.remaining:
-            await exchange.send(chunk)
+        async with reading_ahead(answer.remaining, answer.memory) as chunks:
+            await exchange.send(answer.body)
+            async for chunk in chunks:
+                await exchange.send(chunk)
     except ConnectionBroken as error:
         raise trio.BrokenResourceError from error
     await exchange.finish()
--- a/packages/gateway/plantainshed_gateway/connections.py
+++ b/packages/gateway/plantainshed_gateway/connections.py
@@ -33,6 +33,9 @@
 REDUCED_REUSE_S = 8.0
 REDUCED_REUSE_FRACTION = 0.5
 MAX_IDLE_PER_TARGET = 32
+# How long a target may read nothing of a request while the kernel's buffers are full.
+# Its body takes memory that other requests need, also if the deadline is far away.
+WRITE_TIMEOUT_S = 5.0
 
 
 @frozen
@@ -48,6 +51,13 @@
     until: float
 
 
+async def open_connection(address: str, timeout_s: float) -> ClientConnection:
+    """Connect to a target, or raise `ConnectFailed`."""
+    connection = await ClientConnection.open(address, timeout_s)
+    connection.stream.write_timeout_s = WRITE_TIMEOUT_S
+    return connection
+
+
 class TargetConnections:
     """Opens connections to targets and keeps idle ones for reuse.
 
@@ -63,7 +73,7 @@
         self,
         round_trips: RoundTrips,
         reach: TargetReach,
-        connect=ClientConnection.open,
+        connect=open_connection,
     ):
         self.round_trips = round_trips
         self.reach = reach
--- a/packages/gateway/plantainshed_gateway/forwarding.py
+++ b/packages/gateway/plantainshed_gateway/forwarding.py
@@ -14,6 +14,7 @@
 from .connections import TargetConnections
 from .errors import AttemptFailed
 from .logs import DecisionLog
+from .memory_budget import MemoryBudget, Reservation
 from .metrics import Metrics
 from .ports import TargetAnswer, TargetRequestInfo, Wire
 from .reasons import Reason
@@ -37,13 +38,16 @@
     head : ResponseHead
     body : bytes
         The whole body, or its first part if `remaining` is set.
+    memory : Reservation
+        Memory that the body takes.
     remaining : AsyncIterator of bytes or None
         The rest of a body that is too large to buffer.
     """
 
     head: ResponseHead
     body: bytes
-    remaining: object | None = None
+    memory: Reservation
+    remaining: AsyncIterator[bytes] | None = None
 
 
 class Forwarder:
@@ -56,8 +60,10 @@
         limits: TargetLimits,
         metrics: Metrics,
         log: DecisionLog,
+        answer_memory: MemoryBudget | None = None,
     ):
         self.wire = wire
+        self.answer_memory = answer_memory or MemoryBudget()
         self.connections = connections
         self.limits = limits
         self.registry = limits.registry
@@ -81,14 +87,17 @@
         sent_at = trio.current_time()
         try:
             is_idempotent = call.route.is_idempotent
-            with self.connections.reach.waiting_for_answer(is_idempotent) as scope:
-                await self._send_request(call, state, connection)
-                answer = await self._read_answer(call, state, connection, sent_at)
-            if scope.cancelled_caught:
-                raise AttemptFailed(
-                    Reason.CUT_OFF, "this VM reaches no target any more", True
-                )
-            yield answer
+            with self.answer_memory.reservation() as memory:
+                with self.connections.reach.waiting_for_answer(is_idempotent) as scope:
+                    await self._send_request(call, state, connection)
+                    head = await self._read_head(call, state, connection, sent_at)
+                    chunks = call.progress.track(connection.response_body())
+                    answer = await buffer_body(head, chunks, memory)
+                if scope.cancelled_caught:
+                    raise AttemptFailed(
+                        Reason.CUT_OFF, "this VM reaches no target any more", True
+                    )
+                yield answer
         except ConnectionBroken as error:
             self.connections.reach.note_failed()
             after_s = trio.current_time() - sent_at
@@ -129,18 +138,18 @@
             headers.append((b"content-length", b"%d" % len(call.body)))
         await connection.send_head(call.head.method, call.head.target, headers)
         if call.body:
-            # Head and body go out in one write, so that the target gets either the
-            # whole request or nothing.
+            # Head and body go out together, a small body even in one write, so that the
+            # target usually gets either the whole request or nothing.
             connection.buffer_body(call.body)
         await connection.end_request()
 
-    async def _read_answer(
+    async def _read_head(
         self,
         call: Call,
         state: TargetState,
         connection: ClientConnection,
         sent_at: float,
-    ) -> Answer:
+    ) -> ResponseHead:
         for _ in range(1 + MAX_SKIPPED_ANSWERS):
             call.progress.has_begun = False
             head = await connection.response_head()
@@ -163,8 +172,7 @@
         if metadata.cold_for_s:
             state.note_cold(metadata.cold_for_s)
         await self._validate(state, head, metadata, connection, sent_at)
-        chunks = call.progress.track(connection.response_body())
-        return await buffer_body(head, chunks)
+        return head
 
     async def _validate(
         self,
@@ -223,16 +231,21 @@
     )
 
 
-async def buffer_body(head: ResponseHead, chunks: AsyncIterator[bytes]) -> Answer:
-    """Return an answer whose body is buffered, up to `MAX_BUFFERED_BYTES`."""
-    buffered = []
-    size = 0
+async def buffer_body(
+    head: ResponseHead, chunks: AsyncIterator[bytes], memory: Reservation
+) -> Answer:
+    """Return an answer whose body is buffered as far as possible.
+
+    It is buffered up to `MAX_BUFFERED_BYTES`, and only while its memory lasts. It
+    cannot be refused for want of memory, as the request has run.
+    """
+    # Many small chunks would need many times their size if they were kept apart.
+    buffered = bytearray()
     async for chunk in chunks:
-        buffered.append(chunk)
-        size += len(chunk)
-        if size > MAX_BUFFERED_BYTES:
-            return Answer(head, b"".join(buffered), chunks)
-    return Answer(head, b"".join(buffered))
+        buffered += chunk
+        if not memory.try_use(len(chunk)) or len(buffered) > MAX_BUFFERED_BYTES:
+            return Answer(head, bytes(buffered), memory, chunks)
+    return Answer(head, bytes(buffered), memory)
 
 
 def _connection_failure(connection: ClientConnection, problem: str) -> AttemptFailed:
--- a/packages/gateway/plantainshed_gateway/gateway.py
+++ b/packages/gateway/plantainshed_gateway/gateway.py
@@ -19,6 +19,7 @@
 from .loans import Loans
 from .lookup import LookupTable
 from .members import Members
+from .memory_budget import answer_budget, request_budget
 from .pauses import PauseDetector
 from .peer_messages import PeerMessageHandler
 from .peers import Peers, StateHandler
@@ -31,6 +32,7 @@
 from .relay_messages import RELAY_HEADER
 from .relaying import Relaying
 from .replication import Follower
+from .request_bodies import RequestBodies
 from .retry_budget import RetryBudgets
 from .selection.cold import ColdTargets
 from .selection.placement import Placement
@@ -77,6 +79,8 @@
         self.limits = ConnectionLimits()
         self.heartbeat_number = 0
         self.followers: dict[Collection, Follower] = {}
+        self.request_memory = request_budget(settings.memory_mb)
+        self.answer_memory = answer_budget(settings.memory_mb)
         self.poison = PoisonTracker()
         self.members = Members(self._own_heartbeat({}, {}))
         self.speakers = Speakers(self.members)
@@ -138,6 +142,7 @@
             self.target_limits,
             context.metrics,
             context.log,
+            self.answer_memory,
         )
         self.distance_prober = DistanceProber(
             self.registry, self.connections, self.round_trips, context.log
@@ -159,7 +164,9 @@
                 RelayChoice(self.members),
                 self.round_trips,
                 context.log,
+                self.answer_memory,
             ),
+            RequestBodies(platform_adapter.wire, self.request_memory, self.limits),
         )
         self.lookup = LookupTable(self.members, settings.bounds.longest_ttl_s)
         self.followers = {
@@ -342,6 +349,8 @@
             if replica.is_initialized:
                 metrics.copy_age.set(labels, trio.current_time() - replica.confirmed_at)
         metrics.targets_unreachable.set({}, int(self.reach.is_cut_off))
+        metrics.body_bytes.set({"of": "requests"}, self.request_memory.reserved)
+        metrics.body_bytes.set({"of": "answers"}, self.answer_memory.reserved)
         metrics.limited_targets.set({}, len(self.target_limits.limited))
         self.fleet_view.measure()
 
--- a/packages/gateway/plantainshed_gateway/metrics.py
+++ b/packages/gateway/plantainshed_gateway/metrics.py
@@ -59,6 +59,9 @@
         self.retry_after = self._counter(
             "target_retry_after", "Answers with which targets asked for no requests."
         )
+        self.body_bytes = self._gauge(
+            "body_bytes", "Memory reserved for the bodies of requests and of answers."
+        )
         self.state = self._gauge("state", "State of this VM.")
 
     def _counter(self, name: str, doc: str) -> Values:
--- a/packages/gateway/plantainshed_gateway/reasons.py
+++ b/packages/gateway/plantainshed_gateway/reasons.py
@@ -9,6 +9,8 @@
     NOT_CONFIGURED = "not_configured"
     BAD_REQUEST = "bad_request"
     BODY_TOO_LARGE = "body_too_large"
+    BODY_TOO_SLOW = "body_too_slow"
+    NO_MEMORY = "no_memory"
     NO_ROUTE = "no_route"
     UNKNOWN_KEY = "unknown_key"
     OVER_QUOTA = "over_quota"
--- a/packages/gateway/plantainshed_gateway/relaying.py
+++ b/packages/gateway/plantainshed_gateway/relaying.py
@@ -24,6 +24,7 @@
 from .errors import AttemptFailed
 from .forwarding import Answer, buffer_body
 from .logs import DecisionLog
+from .memory_budget import MemoryBudget, Reservation
 from .reasons import Reason
 from .relay_choice import RelayChoice, RelayVm
 from .relay_messages import (
@@ -55,6 +56,7 @@
     {
         Reason.CUT_OFF,
         Reason.NOT_CONFIGURED,
+        Reason.NO_MEMORY,
         Reason.NO_ROUTE,
         Reason.OUTDATED,
         Reason.RELAY_FAILED,
@@ -86,6 +88,7 @@
     choice : RelayChoice
     round_trips : RoundTrips
     log : DecisionLog
+    answer_memory : MemoryBudget
 
     Attributes
     ----------
@@ -100,8 +103,10 @@
         choice: RelayChoice,
         round_trips: RoundTrips,
         log: DecisionLog,
+        answer_memory: MemoryBudget,
     ):
         self.vm = vm
+        self.answer_memory = answer_memory
         self.log = log
         self.control_port = control_port
         self.choice = choice
@@ -168,7 +173,8 @@
             async with connected(address, timeout_s) as connection:
                 is_sent = True
                 await self._send(call, connection, configuration)
-                yield await self._read(connection)
+                with self.answer_memory.reservation() as memory:
+                    yield await self._read(connection, memory)
         except ConnectFailed as error:
             raise AttemptFailed(Reason.RELAY_FAILED, str(error), False, True) from error
         except HttpError as error:
@@ -201,11 +207,11 @@
             connection.buffer_body(call.body)
         await connection.end_request()
 
-    async def _read(self, connection: ClientConnection) -> Answer:
+    async def _read(self, connection: ClientConnection, memory: Reservation) -> Answer:
         head = await connection.response_head()
         reason = head.header(REFUSED_HEADER)
         answer = await buffer_body(
-            without_relay_headers(head), connection.response_body()
+            without_relay_headers(head), connection.response_body(), memory
         )
         if reason is not None:
             raise _failure(head, reason, answer.body)
--- a/packages/gateway/plantainshed_gateway/serving.py
+++ b/packages/gateway/plantainshed_gateway/serving.py
@@ -10,7 +10,7 @@
 
 import trio
 
-from plantainshed_http.errors import BadMessage, ConnectFailed
+from plantainshed_http.errors import ConnectFailed
 from plantainshed_http.messages import Headers, RequestHead
 from plantainshed_http.server import Exchange
 
@@ -22,6 +22,7 @@
 from .errors import AttemptFailed, BadRequest, Refusal
 from .forwarding import Answer, Forwarder
 from .members import Members
+from .memory_budget import Reservation
 from .model import Configuration
 from .permits import Permits
 from .poison import PoisonTracker, compute_fingerprint
@@ -35,6 +36,7 @@
     split_relayed,
 )
 from .relaying import Relaying
+from .request_bodies import RequestBodies
 from .response_progress import ResponseProgress
 from .retry_budget import RetryBudgets
 from .selection.placement import Placement
@@ -99,6 +101,7 @@
         queues: QueueLimits,
         reach_prober: ReachProber,
         relaying: Relaying,
+        bodies: RequestBodies,
     ):
         self.log = context.log
         self.metrics = context.metrics
@@ -115,6 +118,7 @@
         self.reach_prober = reach_prober
         self.reach = reach_prober.reach
         self.relaying = relaying
+        self.bodies = bodies
         self.in_flight = 0
         self.is_ready = trio.Event()
         self.started_at = trio.current_time()
@@ -137,15 +141,30 @@
     async def _serve(
         self, exchange: Exchange, head: RequestHead, relayed: RelayedRequest | None
     ):
-        began_at = trio.current_time()
         self.in_flight += 1
-        call = None
+        try:
+            with self.bodies.budget.reservation() as memory:
+                refusal = await self._answer(exchange, head, relayed, memory)
+        finally:
+            self.in_flight -= 1
+        await self.bodies.discard_refused(exchange, refusal)
+
+    async def _answer(
+        self,
+        exchange: Exchange,
+        head: RequestHead,
+        relayed: RelayedRequest | None,
+        memory: Reservation,
+    ) -> Refusal | None:
+        began_at, call = memory.began_at, None
         try:
             # The configuration sets the maximum body size, so wait for it before
             # reading the body.
             if not self.is_ready.is_set():
                 await self._await_startup(began_at)
-            body = await self._read_body(exchange)
+            body = await self.bodies.read(
+                exchange, memory, self.admission.configuration
+            )
             self._require_caught_up()
             self._require_accepting()
             if relayed is not None:
@@ -161,8 +180,8 @@
         except Refusal as refusal:
             marks = refusal_marks(refusal.reason) if relayed is not None else []
             await self._refuse(exchange, call, refusal, began_at, marks)
-        finally:
-            self.in_flight -= 1
+            return refusal
+        return None
 
     def _require_able_to_relay(self):
         """Refuse a request that another VM can forward instead."""
@@ -202,24 +221,6 @@
                 STOPPING_RETRY_AFTER_S,
             )
 
-    async def _read_body(self, exchange: Exchange) -> bytes:
-        configuration = self.admission.configuration
-        limit = configuration.limits.max_body_bytes if configuration else 0
-        try:
-            return await exchange.read_body(limit)
-        except BadMessage as problem:
-            if problem.status != HTTPStatus.REQUEST_ENTITY_TOO_LARGE:
-                raise
-            if configuration is None:
-                # Without a configuration, the maximum body size is unknown and the
-                # request is refused later, so its body is not needed.
-                return b""
-            raise Refusal(
-                HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-                Reason.BODY_TOO_LARGE,
-                problem.reason,
-            ) from problem
-
     async def _run(self, exchange: Exchange, call: Call):
         """Get a request answered in time, or raise `Refusal`."""
         with trio.move_on_at(call.cancel_at) as scope:
--- a/packages/gateway/plantainshed_gateway/settings.py
+++ b/packages/gateway/plantainshed_gateway/settings.py
@@ -13,6 +13,9 @@
 from .durations import parse_duration
 from .errors import SettingsError
 
+# Memory limit that is assumed for a VM whose settings name none.
+DEFAULT_MEMORY_MB = 1024.0
+
 
 @frozen
 class Addresses:
@@ -96,6 +99,9 @@
     link_mbps : float
         Bandwidth of this VM's network link; VMs with higher bandwidth are more likely
         to become speakers.
+    memory_mb : float
+        Memory limit of this VM, of which the bodies of requests and answers may take
+        fractions.
     """
 
     vm: str
@@ -109,6 +115,7 @@
     store: str
     bounds: Bounds
     link_mbps: float = 1000.0
+    memory_mb: float = DEFAULT_MEMORY_MB
 
 
 def load_settings(path: str) -> Settings:
@@ -146,8 +153,17 @@
             store=self._text("store", "address"),
             bounds=self._bounds(),
             link_mbps=self._number("vm", "link_mbps"),
+            memory_mb=self._memory_mb(),
         )
 
+    def _memory_mb(self) -> float:
+        if not self._section("vm").get("memory_mb", "").strip():
+            return DEFAULT_MEMORY_MB
+        memory_mb = self._number("vm", "memory_mb")
+        if memory_mb <= 0:
+            raise self._error("vm", "memory_mb", "must be more than 0")
+        return memory_mb
+
     def _addresses(self) -> Addresses:
         return Addresses(
             callers=self._address("callers"),
--- a/tests/platform/daemon_support.py
+++ b/tests/platform/daemon_support.py
@@ -18,6 +18,7 @@
     "region": "lombardia",
     "ip": IP,
     "limits.linkMbps": "1000",
+    "limits.memoryMb": "512",
     "seeds": "",
     "bounds.grace": "2s",
     "bounds.ttl_max": "5s",
