--- a/packages/gateway/plantainshed_gateway/call.py
+++ b/packages/gateway/plantainshed_gateway/call.py
@@ -8,6 +8,7 @@
 from .model import Route, Workspace
 from .ports import CallerRequest
 from .relay_messages import RelayedRequest
+from .response_progress import ResponseProgress
 from .selection.registry import TargetState
 
 
@@ -51,6 +52,8 @@
     owner_rank : int or None
         Rank of the chosen target among the object's owners; see `selection.choice`.
         None if it was not chosen by rank.
+    progress : ResponseProgress
+        How far the response to the last attempt has got.
     fingerprint : str
         Identifies the same request when it is repeated; see `PoisonTracker`.
     """
@@ -73,6 +76,7 @@
     load: float | None = None
     load_age_s: float | None = None
     owner_rank: int | None = None
+    progress: ResponseProgress = field(factory=ResponseProgress)
     fingerprint: str = ""
 
     def apply_relayed(self, relayed: RelayedRequest):
--- a/packages/gateway/plantainshed_gateway/gateway.py
+++ b/packages/gateway/plantainshed_gateway/gateway.py
@@ -20,6 +20,7 @@
 from .loans import Loans
 from .lookup import LookupTable
 from .members import Members
+from .memory_budget import answer_budget, request_budget
 from .pauses import PauseDetector
 from .peer_messages import PeerMessageHandler
 from .peers import Peers, StateHandler
@@ -32,6 +33,7 @@
 from .relay_messages import RELAY_HEADER
 from .relaying import Relaying
 from .replication import Follower
+from .request_bodies import RequestBodies
 from .retry_budget import RetryBudgets
 from .selection.choice import LoadAwareChoice
 from .selection.cold import ColdTargets
@@ -79,6 +81,8 @@
         self.limits = ConnectionLimits()
         self.heartbeat_number = 0
         self.followers: dict[Collection, Follower] = {}
+        self.request_memory = request_budget(settings.memory_mb)
+        self.answer_memory = answer_budget(settings.memory_mb)
         self.poison = PoisonTracker()
         self.members = Members(self._own_heartbeat({}, {}))
         self.speakers = Speakers(self.members)
@@ -146,6 +150,7 @@
             self.target_limits,
             context.metrics,
             context.log,
+            self.answer_memory,
         )
         self.distance_prober = DistanceProber(
             self.registry, self.connections, self.round_trips, context.log
@@ -166,8 +171,10 @@
                 RelayChoice(self.members),
                 self.round_trips,
                 context.log,
+                self.answer_memory,
             ),
             self.load_sharing,
+            RequestBodies(platform_adapter.wire, self.request_memory, self.limits),
         )
         self.lookup = LookupTable(self.members, settings.bounds.longest_ttl_s)
         self.followers = {
@@ -362,6 +369,8 @@
         if configuration is not None:
             metrics.configuration_problems.set({}, len(configuration.problems))
         metrics.targets_unreachable.set({}, int(self.reach.is_cut_off))
+        metrics.body_bytes.set({"of": "requests"}, self.request_memory.reserved)
+        metrics.body_bytes.set({"of": "answers"}, self.answer_memory.reserved)
         metrics.limited_targets.set({}, len(self.target_limits.limited))
         self.load_sharing.measure(metrics)
         self.fleet_view.measure()
--- a/packages/gateway/plantainshed_gateway/metrics.py
+++ b/packages/gateway/plantainshed_gateway/metrics.py
@@ -67,6 +67,9 @@
             "load_reports",
             "Sources whose load report counts: VMs of the domain, other domains.",
         )
+        self.body_bytes = self._gauge(
+            "body_bytes", "Memory reserved for the bodies of requests and of answers."
+        )
         self.state = self._gauge("state", "State of this VM.")
 
     def _counter(self, name: str, doc: str) -> Values:
--- a/packages/gateway/plantainshed_gateway/serving.py
+++ b/packages/gateway/plantainshed_gateway/serving.py
@@ -10,18 +10,20 @@
 
 import trio
 
-from plantainshed_http.errors import BadMessage, ConnectFailed
+from plantainshed_http.errors import ConnectFailed
 from plantainshed_http.messages import Headers, RequestHead
 from plantainshed_http.server import Exchange
 
 from .admission import Admission
 from .answers import refusal_body, refusal_headers, send_answer
 from .call import Call
+from .cancelled_attempts import failure_of_cancelled
 from .context import Context
 from .errors import AttemptFailed, BadRequest, Refusal
 from .forwarding import Answer, Forwarder
 from .load_sharing import LoadSharing
 from .members import Members
+from .memory_budget import Reservation
 from .model import Configuration
 from .permits import Permits
 from .poison import PoisonTracker, compute_fingerprint
@@ -35,6 +37,8 @@
     split_relayed,
 )
 from .relaying import Relaying
+from .request_bodies import RequestBodies
+from .response_progress import ResponseProgress
 from .retry_budget import RetryBudgets
 from .selection.placement import Placement
 from .selection.registry import TargetState
@@ -97,6 +101,7 @@
         reach_prober: ReachProber,
         relaying: Relaying,
         load_sharing: LoadSharing,
+        bodies: RequestBodies,
     ):
         self.log = context.log
         self.metrics = context.metrics
@@ -113,6 +118,7 @@
         self.reach = reach_prober.reach
         self.relaying = relaying
         self.load_sharing = load_sharing
+        self.bodies = bodies
         self.in_flight = 0
         self.is_ready = trio.Event()
         self.started_at = trio.current_time()
@@ -135,15 +141,30 @@
     async def _serve(
         self, exchange: Exchange, head: RequestHead, relayed: RelayedRequest | None
     ):
-        began_at = trio.current_time()
         self.in_flight += 1
-        call = None
+        try:
+            with self.bodies.budget.reservation() as memory:
+                refusal = await self._answer(exchange, head, relayed, memory)
+        finally:
+            self.in_flight -= 1
+        await self.bodies.discard_refused(exchange, refusal)
+
+    async def _answer(
+        self,
+        exchange: Exchange,
+        head: RequestHead,
+        relayed: RelayedRequest | None,
+        memory: Reservation,
+    ) -> Refusal | None:
+        began_at, call = memory.began_at, None
         try:
             # The configuration sets the maximum body size, so wait for it before
             # reading the body.
             if not self.is_ready.is_set():
                 await self._await_startup(began_at)
-            body = await self._read_body(exchange)
+            body = await self.bodies.read(
+                exchange, memory, self.admission.configuration
+            )
             self._require_caught_up()
             self._require_accepting()
             if relayed is not None:
@@ -159,8 +180,8 @@
         except Refusal as refusal:
             marks = refusal_marks(refusal.reason) if relayed is not None else []
             await self._refuse(exchange, call, refusal, began_at, marks)
-        finally:
-            self.in_flight -= 1
+            return refusal
+        return None
 
     def _require_able_to_relay(self):
         """Refuse a request that another VM can forward instead."""
@@ -200,24 +221,6 @@
                 STOPPING_RETRY_AFTER_S,
             )
 
-    async def _read_body(self, exchange: Exchange) -> bytes:
-        configuration = self.admission.configuration
-        limit = configuration.limits.max_body_bytes if configuration else 0
-        try:
-            return await exchange.read_body(limit)
-        except BadMessage as problem:
-            if problem.status != HTTPStatus.REQUEST_ENTITY_TOO_LARGE:
-                raise
-            if configuration is None:
-                # Without a configuration, the maximum body size is unknown and the
-                # request is refused later, so its body is not needed.
-                return b""
-            raise Refusal(
-                HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-                Reason.BODY_TOO_LARGE,
-                problem.reason,
-            ) from problem
-
     async def _run(self, exchange: Exchange, call: Call):
         """Get a request answered in time, or raise `Refusal`."""
         with trio.move_on_at(call.cancel_at) as scope:
@@ -340,6 +343,7 @@
         self, exchange: Exchange, call: Call, state: TargetState
     ) -> AttemptFailed | None:
         began_at = call.attempted_at = trio.current_time()
+        call.progress = ResponseProgress()
         if not call.attempts:
             self.retries.note_request(call.pool)
         call.attempts += 1
@@ -366,7 +370,9 @@
                 await self._check_crashed(call, state)
             return failure
         except trio.Cancelled:
-            self._check_silent(call, state, began_at)
+            failure = failure_of_cancelled(exchange, call, state, self.reach)
+            if failure is not None:
+                self._record_failure(call, state, failure)
             raise
         finally:
             state.in_flight -= 1
@@ -398,6 +404,8 @@
     def _record_failure(self, call: Call, state: TargetState, failure: AttemptFailed):
         if failure.reason in (Reason.CONNECT_FAILED, Reason.OTHER_INSTANCE):
             state.note_unreachable()
+        elif failure.reason is Reason.UNENDED_ANSWER:
+            state.note_unended()
         elif failure.reason not in (Reason.TARGET_BUSY, Reason.CUT_OFF):
             state.note_failure()
         self.log.event(
@@ -411,14 +419,6 @@
             seconds_left=round(call.seconds_left, 3),
         )
 
-    def _check_silent(self, call: Call, state: TargetState, sent_at: float):
-        """Count a cancelled attempt as failed if its target answered nobody."""
-        if state.is_silent_since(sent_at, call.route.timeout_s):
-            silence = AttemptFailed(
-                Reason.TARGET_SILENT, "no answer to this or any other request", True
-            )
-            self._record_failure(call, state, silence)
-
     async def _check_crashed(self, call: Call, state: TargetState):
         """Check whether the target crashed or only its answer was lost.
 
--- a/packages/gateway/plantainshed_gateway/settings.py
+++ b/packages/gateway/plantainshed_gateway/settings.py
@@ -14,6 +14,9 @@
 from .durations import parse_duration
 from .errors import SettingsError
 
+# Memory limit that is assumed for a VM whose settings name none.
+DEFAULT_MEMORY_MB = 1024.0
+
 
 class ShareLoad(StrEnum):
     """When a VM exchanges load reports with the others."""
@@ -106,6 +109,9 @@
         Bandwidth of this VM's network link; VMs with higher bandwidth are more likely
         to become speakers.
     share_load : ShareLoad
+    memory_mb : float
+        Memory limit of this VM, of which the bodies of requests and answers may take
+        fractions.
     """
 
     vm: str
@@ -120,6 +126,7 @@
     bounds: Bounds
     link_mbps: float = 1000.0
     share_load: ShareLoad = ShareLoad.AUTO
+    memory_mb: float = DEFAULT_MEMORY_MB
 
 
 def load_settings(path: str) -> Settings:
@@ -158,6 +165,7 @@
             bounds=self._bounds(),
             link_mbps=self._number("vm", "link_mbps"),
             share_load=self._share_load(),
+            memory_mb=self._memory_mb(),
         )
 
     def _share_load(self) -> ShareLoad:
@@ -170,6 +178,14 @@
                 "selection", "share_load", f"{text!r} is none of {allowed}"
             ) from error
 
+    def _memory_mb(self) -> float:
+        if not self._section("vm").get("memory_mb", "").strip():
+            return DEFAULT_MEMORY_MB
+        memory_mb = self._number("vm", "memory_mb")
+        if memory_mb <= 0:
+            raise self._error("vm", "memory_mb", "must be more than 0")
+        return memory_mb
+
     def _addresses(self) -> Addresses:
         return Addresses(
             callers=self._address("callers"),
--- a/packages/http/plantainshed_http/server.py
+++ b/packages/http/plantainshed_http/server.py
@@ -3,6 +3,13 @@
 `serve_http` accepts connections until its `Stopping` is set. After that, open
 connections finish their current exchange, and responses that begin from then on
 carry ``Connection: close``.
+
+Requests that a caller pipelines are handled one after the other. The next one is
+parsed only after the response to the current one, and the socket is read only if the
+parser needs more data, so at most `MAX_HEAD_BYTES` and one read of `READ_BYTES` are
+buffered for a connection. The rest stays in the kernel's buffers, whose size limits
+what the caller can send. Requests behind a response with ``Connection: close`` are
+discarded unread.
 """
 
 import contextlib
@@ -26,6 +33,7 @@
     Headers,
     RequestHead,
 )
+from .outgoing import Outgoing
 from .tcp import TcpStream
 
 Handler = Callable[["Exchange"], Awaitable[None]]
@@ -48,7 +56,8 @@
     head_timeout_s : float
         Longest time between the first and the last byte of a request head.
     idle_timeout_s : float
-        Longest pause between two exchanges, and between two chunks of a body.
+        Longest pause between two exchanges, between two chunks of a body, and while
+        the caller reads nothing of a response.
     """
 
     head_timeout_s: float = HEAD_TIMEOUT_S
@@ -213,6 +222,16 @@
                 return
             yield chunk
 
+    @property
+    def declared_length(self) -> int | None:
+        """Length of the request's body by its head; None if the head names none.
+
+        0 if the request has no body.
+        """
+        if self.request.header(b"transfer-encoding") is not None:
+            return None
+        return int(self.request.header(b"content-length") or 0)
+
     async def read_body(self, limit: int) -> bytes:
         """Return the whole body.
 
@@ -266,7 +285,8 @@
         Without it, a request keeps running at its target and occupies a slot
         there, although the caller has disconnected. Use it only after the body
         has been read: the next bytes are then either the end of the stream or
-        the start of another request.
+        the start of another request. A caller that has pipelined more than fits into
+        the kernel's receive buffer cannot be seen to disconnect.
         """
         with trio.CancelScope() as scope:
             self._on_disconnect = scope.cancel
@@ -300,7 +320,7 @@
         self.limits = limits
         self.watcher = watcher
         self.method = b""
-        self.unsent = b""
+        self.unsent = Outgoing()
         self.h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
 
     async def run(self, report):
@@ -324,7 +344,12 @@
                 return
             if request is None:
                 return
-            await self._serve_one(Exchange(self, request, self.caller), report)
+            exchange = Exchange(self, request, self.caller)
+            await self._serve_one(exchange, report)
+            if exchange.caller_disconnected:
+                # Nobody receives the responses to requests that it has pipelined.
+                await self._linger()
+                return
             # Close only after a response with "Connection: close". Otherwise the
             # caller's next request may already be in transit and would be lost.
             if self.h11.our_state is not h11.DONE:
@@ -419,19 +444,19 @@
         if will_close or self.h11.their_state is not h11.DONE:
             headers = [*headers, (b"connection", b"close")]
         response = h11.Response(status_code=status, headers=headers)
-        self.unsent += self.h11.send(response)
+        self.unsent.add(self.h11.send(response))
 
     def buffer_body(self, chunk: bytes):
-        self.unsent += self.h11.send(h11.Data(data=chunk))
+        self.unsent.add(self.h11.send(h11.Data(data=chunk)))
 
     async def send_event(self, event):
-        self.unsent += self.h11.send(event) or b""
+        self.unsent.add(self.h11.send(event))
         await self.flush()
 
     async def flush(self):
-        data, self.unsent = self.unsent, b""
-        if data:
-            await self.stream.send_all(data)
+        if self.unsent:
+            self.stream.write_timeout_s = self.limits.idle_timeout_s
+            await self.unsent.send(self.stream)
 
     def _parse(self):
         try:
