--- a/packages/measure/plantainshed_measure/placing_policies.py
+++ b/packages/measure/plantainshed_measure/placing_policies.py
@@ -20,8 +20,11 @@
 # Averaging time of the rates at which objects are requested.
 RATE_AVERAGING_S = 3.0
 # Offered work per slot above which `Informed` gives no object a further owner. A first
-# run takes as long as three others, for which there is then no room.
+# run takes as long as three others, for which there is then too little room.
 MAX_OFFERED_FOR_OWNERS = 0.9
+# Longest wait of less urgent requests if the work offered exceeds the slots, as a
+# fraction of a later run. Urgent requests can then wait for the slots instead.
+LESS_URGENT_WAIT_RATIO = 0.25
 # Time between two further owners of an object. The first has begun to help by then.
 OWNER_INTERVAL_S = 1.0
 
@@ -152,7 +155,8 @@
     Each object has one owner, the target with the highest rendezvous score. It gets
     further owners when none of those that remember it would answer in time. A request
     is refused if its wait and a later run together exceed the objective. If the work
-    offered exceeds the slots, only requests of the most urgent priority may wait.
+    offered exceeds the slots, less urgent requests may wait only briefly, and the time
+    since a request's first attempt counts.
     """
 
     def __init__(self):
@@ -164,9 +168,13 @@
     def __call__(self, vm: PolicyVm, call: Call) -> TargetState | Refusal | None:
         """Choose a target for one request."""
         now, name = trio.current_time(), call.request.affinity
-        self._count_request(now)
+        elapsed_s = round(call.route.timeout_s - call.seconds_left, 6)
+        self._count_request(now, is_retry=elapsed_s > 0)
         offered = self.rate_per_s / vm.fleet.world.warm_room_per_s
-        may_wait = offered < 1 or call.route.priority == min(vm.fleet.routes)
+        left_s = call.route.objective_s - (elapsed_s if offered > 1 else 0)
+        max_wait_s = math.inf
+        if offered > 1 and call.route.priority > min(vm.fleet.routes):
+            max_wait_s = LESS_URGENT_WAIT_RATIO * vm.fleet.world.later_run_s
         waits = {
             state: _true_target(vm, state).expected_wait_s()
             for state in self._ranking(vm, name)
@@ -174,9 +182,8 @@
         in_time = {
             state: response_s
             for state, wait_s in waits.items()
-            if (may_wait or not wait_s)
-            and (response_s := _later_response_s(vm, state, wait_s))
-            <= call.route.objective_s
+            if wait_s <= max_wait_s
+            and (response_s := _later_response_s(vm, state, wait_s)) <= left_s
         }
         owners = [
             state for state in waits if _true_target(vm, state).will_remember(name)
@@ -184,18 +191,23 @@
         in_time_owners = [state for state in owners if state in in_time]
         if in_time_owners:
             return min(in_time_owners, key=in_time.get)
-        if owners and (
+        free = [state for state in in_time if not waits[state]]
+        if not owners:
+            return next(iter(free or in_time), None)
+        if (
             offered > MAX_OFFERED_FOR_OWNERS
             or now - self.owner_added_at.get(name, 0.0) < OWNER_INTERVAL_S
+            or not free
         ):
             return None
         self.owner_added_at[name] = now
-        # The first in the ranking that has a free slot, or else may be in time.
-        return min(in_time, key=lambda state: waits[state] > 0, default=None)
+        return free[0]
 
-    def _count_request(self, now: float):
+    def _count_request(self, now: float, is_retry: bool):
         decay = math.exp((self.rate_at - now) / RATE_AVERAGING_S)
-        self.rate_per_s = self.rate_per_s * decay + 1 / RATE_AVERAGING_S
+        self.rate_per_s *= decay
+        if not is_retry:
+            self.rate_per_s += 1 / RATE_AVERAGING_S
         self.rate_at = now
 
     def _ranking(self, vm: PolicyVm, name: str) -> list[TargetState]:
