--- a/packages/measure/plantainshed_measure/experiment.py
+++ b/packages/measure/plantainshed_measure/experiment.py
@@ -7,6 +7,7 @@
 
 import itertools
 import json
+from collections.abc import Iterator
 from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
 from statistics import fmean
@@ -17,6 +18,7 @@
 from plantainshed_standins.memory_network import run_deterministically
 
 from .experiment_file import Experiment, read_experiment
+from .experiment_plot import plot_by_second
 from .placing_demand import Popularity
 from .placing_model import ModelFleet
 from .placing_policies import policies
@@ -47,8 +49,19 @@
     load: float
     policy: str
 
+    @property
+    def text(self) -> str:
+        """The options other than the policy."""
+        round_trip_ms = round(1000 * self.round_trip_s, 1)
+        return (
+            f"{self.vms} VMs, {round_trip_ms} ms round trip, popularity "
+            f"{self.popularity.text}, load {self.load:g}"
+        )
+
 
-def compare(file: str = DEFAULT_FILE, jobs: int = 3, as_json: bool = False):
+def compare(
+    file: str = DEFAULT_FILE, jobs: int = 3, as_json: bool = False, plot: int = 0
+):
     """Simulate an experiment and print a table, or one line of JSON for each row.
 
     Parameters
@@ -57,8 +70,15 @@
     jobs : int
         Number of simulations that run in parallel, each on its own virtual clock.
     as_json : bool
+    plot : int
+        With ``--plot``, only the first combination of the options other than the
+        policy is simulated, and for each policy the outcomes are plotted by second;
+        with ``--plot=N``, the N-th.
     """
     experiment = read_experiment(Path(file))
+    if plot:
+        _plot(experiment, int(plot), jobs)
+        return
     rows = simulate_all(experiment, jobs)
     if as_json:
         for row in rows:
@@ -67,21 +87,40 @@
         _print_table(rows)
 
 
+def _plot(experiment: Experiment, number: int, jobs: int):
+    count = len(experiment.policies)
+    chosen = combinations(experiment)[(number - 1) * count : number * count]
+    if number < 1 or not chosen:
+        raise SystemExit(f"There is no combination {number} of the options.")
+    print(chosen[0].text)
+    for one, of_seeds in zip(
+        chosen, _simulate_each(experiment, chosen, jobs), strict=True
+    ):
+        print(plot_by_second(one.policy, of_seeds))
+
+
 def simulate_all(experiment: Experiment, jobs: int) -> list[dict]:
     """Simulate all combinations and return a row of figures for each."""
-    all_combinations = combinations(experiment)
+    chosen = combinations(experiment)
+    return [
+        _row(one, [tally.figures() for tally in of_seeds])
+        for one, of_seeds in zip(
+            chosen, _simulate_each(experiment, chosen, jobs), strict=True
+        )
+    ]
+
+
+def _simulate_each(
+    experiment: Experiment, chosen: list[Combination], jobs: int
+) -> Iterator[list[Tally]]:
+    """Yield the outcomes of each combination with all seeds."""
     with ProcessPoolExecutor(jobs) as pool:
         simulations = [
             [pool.submit(simulate, experiment, one, seed) for seed in experiment.seeds]
-            for one in all_combinations
+            for one in chosen
         ]
-        figures = [
-            [future.result().figures() for future in futures] for futures in simulations
-        ]
-    return [
-        _row(combination, of_seeds)
-        for combination, of_seeds in zip(all_combinations, figures, strict=True)
-    ]
+        for futures in simulations:
+            yield [future.result() for future in futures]
 
 
 def combinations(experiment: Experiment) -> list[Combination]:
--- a/packages/measure/plantainshed_measure/experiment_file.py
+++ b/packages/measure/plantainshed_measure/experiment_file.py
@@ -36,6 +36,7 @@
     "world": {
         "targets_per_region",
         "domains_per_region",
+        "vms_per_region",
         "slots",
         "queue",
         "remembers",
@@ -105,7 +106,7 @@
         experiment = Experiment(
             policies=_list(section["policies"]),
             round_trips_s=[parse_duration(x) for x in _list(section["round_trips"])],
-            vms=[_positive_int(x) for x in _list(section["vms"])],
+            vms=_vms(parser, world),
             popularities=[
                 _popularity(x) for x in _list(section.get("popularities", "even"))
             ],
@@ -139,13 +140,13 @@
         raise ValueError("noise must be a share, a factor and a time, all positive")
     return World(
         targets_per_region=tuple(int(x) for x in _list(section["targets_per_region"])),
-        domains_per_region=_positive_int(section.get("domains_per_region", "2")),
+        domains_per_region=_positive_int(section.get("domains_per_region", "1")),
         slots=section.getint("slots"),
         queue=section.getint("queue"),
         remembers=section.getint("remembers"),
         first_run_s=parse_duration(section["first_run"]),
         later_run_s=parse_duration(section["later_run"]),
-        spread=section.getfloat("spread", 0.15),
+        spread=section.getfloat("spread", 0.0),
         noise=noise,
         objective_s=parse_duration(section["objective"]),
         timeout_s=parse_duration(section["timeout"]),
@@ -153,6 +154,16 @@
     )
 
 
+def _vms(parser: configparser.ConfigParser, world: World) -> list[int]:
+    section = parser["experiment"]
+    if ("vms" in section) == ("vms_per_region" in parser["world"]):
+        raise ValueError("either vms or vms_per_region is needed")
+    if "vms" in section:
+        return [_positive_int(x) for x in _list(section["vms"])]
+    per_region = _positive_int(parser["world"]["vms_per_region"])
+    return [per_region * len(world.regions)]
+
+
 def _demand(parser: configparser.ConfigParser, world: World) -> Demand:
     if not parser.has_section("callers"):
         parser.add_section("callers")
@@ -178,7 +189,7 @@
         priorities={int(priority): float(share) for priority, share in pairs},
         workspaces=section.getint("workspaces", 0),
         largest_workspace=section.getfloat("largest_workspace", 0.0),
-        retries=section.getint("retries", 1),
+        retries=section.getint("retries", 0),
     )
 
 
