--- a/packages/measure/plantainshed_measure/placing_policies.py
+++ b/packages/measure/plantainshed_measure/placing_policies.py
@@ -150,7 +150,7 @@
 
 
 class Informed:
-    """Chooses with the true state of all targets; a bound for what VMs could reach.
+    """Chooses with the true state of all targets, to show about what is possible.
 
     Each object has one owner, the target with the highest rendezvous score. It gets
     further owners when none of those that remember it would answer in time. A request
--- a/tests/measure/test_placing_model.py
+++ b/tests/measure/test_placing_model.py
@@ -123,7 +123,7 @@
         self.assertAlmostEqual(figures["refused"], refused)
 
     def test_informed_policy_is_best(self):
-        """Guards against a reference that is no bound for what VMs can reach.
+        """Guards against a reference that knows more and still chooses worse.
 
         The load is 0.8 of the room for warm runs, counted after most first runs.
         """
