--- a/packages/gateway/plantainshed_gateway/call.py
+++ b/packages/gateway/plantainshed_gateway/call.py
@@ -52,6 +52,9 @@
     owner_rank : int or None
         Rank of the chosen target among the object's owners; see `selection.choice`.
         None if it was not chosen by rank.
+    expected_wait_s, expected_s : float or None
+        Expected wait in the chosen target's queue and expected time until its answer.
+        None if it was not chosen by the load that all VMs report.
     progress : ResponseProgress
         How far the response to the last attempt has got.
     fingerprint : str
@@ -76,6 +79,8 @@
     load: float | None = None
     load_age_s: float | None = None
     owner_rank: int | None = None
+    expected_wait_s: float | None = None
+    expected_s: float | None = None
     progress: ResponseProgress = field(factory=ResponseProgress)
     fingerprint: str = ""
 
--- a/packages/gateway/plantainshed_gateway/selection/choice.py
+++ b/packages/gateway/plantainshed_gateway/selection/choice.py
@@ -33,6 +33,8 @@
 # Difference of expected times, in run times, at which a target is chosen e times less
 # often.
 SPREAD_RUNS = 0.4
+# Rank of a target that does not own the object.
+NOT_OWNER = 2
 # Number of other targets whose load is compared with that of the owners.
 OTHERS_COMPARED = 2
 # How much sooner, in run times, a target that does not own the object must be expected
@@ -53,7 +55,8 @@
     ----------
     state : TargetState
     rank : int
-        0 for an owner that the object's requests keep busy, otherwise 1.
+        0 for an owner that the object's requests keep busy, 1 for the reserve, and
+        `NOT_OWNER`.
     expected : ExpectedTime
     """
 
@@ -152,7 +155,7 @@
         ]
         compared = self.random.sample(others, min(OTHERS_COMPARED, len(others)))
         unowned = [
-            RankedTarget(state, 1, self.expected_times.at(state, 1.0))
+            RankedTarget(state, NOT_OWNER, self.expected_times.at(state, 1.0))
             for state in compared
         ]
         if not ranked:
--- a/packages/gateway/plantainshed_gateway/selection/placement.py
+++ b/packages/gateway/plantainshed_gateway/selection/placement.py
@@ -136,7 +136,7 @@
             Names of the VMs that accept callers' requests.
         """
         pool = configuration.pools[call.pool]
-        call.owner_rank = None
+        call.owner_rank = call.expected_wait_s = call.expected_s = None
         if self._is_chosen_by_load(call):
             return self._choose_by_load(call, pool, excluded, vms)
         candidates = self._candidates(call)
@@ -188,6 +188,8 @@
         if chosen is None:
             return None
         call.owner_rank = chosen.rank
+        call.expected_wait_s = round(chosen.expected.wait_s, 3)
+        call.expected_s = round(chosen.expected.total_s, 3)
         return chosen.state
 
     def _owners_by_load(
