--- a/packages/gateway/plantainshed_gateway/selection/choice.py
+++ b/packages/gateway/plantainshed_gateway/selection/choice.py
@@ -28,18 +28,16 @@
 from .returning import Returning
 from .round_trips import RoundTrips
 from .run_times import RunTimes
-from .shedding import PoolRoom, Shedding, rank_of
+from .shedding import SHORT_OCCUPANCY, PoolRoom, Shedding, rank_of
 
 # Difference of expected times, in run times, at which a target is chosen e times less
 # often.
 SPREAD_RUNS = 0.4
 # Rank of a target that does not own the object.
 NOT_OWNER = 2
-# Number of other targets whose load is compared with that of the owners.
+# Number of targets that do not own an object whose loads are compared. Comparing two
+# keeps VMs with the same reports from choosing the same target.
 OTHERS_COMPARED = 2
-# How much sooner, in run times, a target that does not own the object must be expected
-# to answer. Its run makes it forget another object.
-OTHERS_ADVANTAGE_RUNS = 0.5
 # Longest accepted wait as a ratio of the objective, while the pool has room.
 MAX_WAIT_RATIO = 1.0
 # Wait that is accepted although the pool is short, in run times. Without it, first runs
@@ -126,45 +124,37 @@
             Targets that do not own it.
         room : PoolRoom
         """
-        ranked = [
-            one
-            for one in self._rank(call.pool, owners, others)
-            if self._is_in_time(call, one, room)
+        owned = self._rank(call.pool, owners)
+        in_time = [one for one in owned if self._is_in_time(call, one, room)]
+        if in_time:
+            return self._draw(call.pool, in_time)
+        if owners and room.occupancy >= SHORT_OCCUPANCY:
+            # A first run elsewhere takes as long as several later ones. While most
+            # slots are busy, that would make all requests wait longer.
+            return None
+        compared = self.random.sample(others, min(OTHERS_COMPARED, len(others)))
+        unowned = [
+            RankedTarget(state, NOT_OWNER, self.expected_times.at(state, 1.0))
+            for state in compared
         ]
-        return self._draw(call.pool, ranked) if ranked else None
+        in_time = [one for one in unowned if self._is_in_time(call, one, room)]
+        return min(in_time, key=lambda one: one.expected.total_s, default=None)
 
     def note_answer(self, call: Call, state: TargetState, seconds: float):
         """Record the duration of an attempt that a target answered."""
         is_first = self.run_times.note_answer(state, seconds)
-        if is_first is not None and call.owner_rank is not None:
+        if is_first is not None and call.owner_rank in (0, 1):
             key = runs_key(state.entry.pool, call.owner_rank)
             self.fleet_load.own.note_run(key, is_first)
 
-    def _rank(
-        self,
-        pool: str,
-        owners: Sequence[TargetState],
-        others: Sequence[TargetState],
-    ) -> list[RankedTarget]:
+    def _rank(self, pool: str, owners: Sequence[TargetState]) -> list[RankedTarget]:
         shares = [first_run_share_of(self.fleet_load, pool, rank) for rank in (0, 1)]
         busy = max(1, len(owners) - RESERVE)
-        ranked = [
+        return [
             RankedTarget(state, rank, self.expected_times.at(state, shares[rank]))
             for position, state in enumerate(owners)
             for rank in (int(position >= busy),)
         ]
-        compared = self.random.sample(others, min(OTHERS_COMPARED, len(others)))
-        unowned = [
-            RankedTarget(state, NOT_OWNER, self.expected_times.at(state, 1.0))
-            for state in compared
-        ]
-        if not ranked:
-            return unowned
-        advantage_s = OTHERS_ADVANTAGE_RUNS * self._run_s(pool)
-        soonest_s = min(_total_s(one) for one in ranked)
-        return ranked + [
-            one for one in unowned if _total_s(one) + advantage_s < soonest_s
-        ]
 
     def _run_s(self, pool: str) -> float:
         run_time = self.run_times.of(pool)
@@ -172,8 +162,10 @@
 
     def _draw(self, pool: str, ranked: list[RankedTarget]) -> RankedTarget:
         spread_s = max(0.001, SPREAD_RUNS * self._run_s(pool))
-        soonest_s = min(_total_s(one) for one in ranked)
-        weights = [math.exp((soonest_s - _total_s(one)) / spread_s) for one in ranked]
+        soonest_s = min(one.expected.total_s for one in ranked)
+        weights = [
+            math.exp((soonest_s - one.expected.total_s) / spread_s) for one in ranked
+        ]
         return self.random.choices(ranked, weights)[0]
 
     def _is_in_time(self, call: Call, ranked: RankedTarget, room: PoolRoom) -> bool:
@@ -188,7 +180,3 @@
             in_time_s = route.objective_s - expected.way_s - run_s
             longest_s = max(MIN_ACCEPTED_WAIT_RUNS * run_s, in_time_s)
         return expected.wait_s <= longest_s
-
-
-def _total_s(one: RankedTarget) -> float:
-    return one.expected.total_s
--- a/tests/gateway/test_retry_after.py
+++ b/tests/gateway/test_retry_after.py
@@ -9,7 +9,7 @@
 from plantainshed_gateway.metrics import Metrics
 from plantainshed_gateway.selection.registry import usable_among
 from tests.gateway.gateway_support import RecordingLog, make_call, make_limits
-from tests.gateway.test_placement import ROUTE, make_registry
+from tests.gateway.selection.test_placement import ROUTE, make_registry
 from tests.support import on_mock_clock
 
 
