--- a/packages/gateway/plantainshed_gateway/selection/choice.py
+++ b/packages/gateway/plantainshed_gateway/selection/choice.py
@@ -32,7 +32,7 @@
 
 # Difference of expected times, in run times, at which a target is chosen e times less
 # often.
-SPREAD_RUNS = 0.4
+SPREAD_RUNS = 0.25
 # Rank of a target that does not own the object.
 NOT_OWNER = 2
 # Number of targets that do not own an object whose loads are compared. Comparing two
