--- a/packages/gateway/plantainshed_gateway/selection/choice.py
+++ b/packages/gateway/plantainshed_gateway/selection/choice.py
@@ -33,6 +33,13 @@
 # Difference of expected times, in run times, at which a target is chosen e times less
 # often.
 SPREAD_RUNS = 0.25
+# While an object's busy owners have a longer queue than its reserve, by this many run
+# times, the reserve gets this fraction of what they get, so that it learns the object.
+WARMING_WAIT_RUNS = 0.02
+WARMING_FRACTION = 0.5
+# Largest share of first runs at busy owners at which reserves learn objects. While most
+# runs are first ones, as after a start, further ones would make everybody wait.
+MAX_FIRST_RUN_SHARE = 0.5
 # Rank of a target that does not own the object.
 NOT_OWNER = 2
 # Number of targets that do not own an object whose loads are compared. Comparing two
@@ -56,11 +63,14 @@
         0 for an owner that the object's requests keep busy, 1 for the reserve, and
         `NOT_OWNER`.
     expected : ExpectedTime
+    first_run_share : float
+        Share of first runs at targets of this rank.
     """
 
     state: TargetState
     rank: int
     expected: ExpectedTime
+    first_run_share: float = 1.0
 
 
 class LoadAwareChoice:
@@ -150,24 +160,47 @@
     def _rank(self, pool: str, owners: Sequence[TargetState]) -> list[RankedTarget]:
         shares = [first_run_share_of(self.fleet_load, pool, rank) for rank in (0, 1)]
         busy = max(1, len(owners) - RESERVE)
-        return [
-            RankedTarget(state, rank, self.expected_times.at(state, shares[rank]))
-            for position, state in enumerate(owners)
-            for rank in (int(position >= busy),)
-        ]
+        ranked = []
+        for position, state in enumerate(owners):
+            rank = int(position >= busy)
+            expected = self.expected_times.at(state, shares[rank])
+            ranked.append(RankedTarget(state, rank, expected, shares[rank]))
+        return ranked
 
     def _run_s(self, pool: str) -> float:
         run_time = self.run_times.of(pool)
         return run_time.later_s if run_time else 0.0
 
     def _draw(self, pool: str, ranked: list[RankedTarget]) -> RankedTarget:
-        spread_s = max(0.001, SPREAD_RUNS * self._run_s(pool))
+        run_s = max(0.001, self._run_s(pool))
         soonest_s = min(one.expected.total_s for one in ranked)
         weights = [
-            math.exp((soonest_s - one.expected.total_s) / spread_s) for one in ranked
+            math.exp((soonest_s - one.expected.total_s) / (SPREAD_RUNS * run_s))
+            * (1.0 - one.first_run_share if one.rank else 1.0)
+            for one in ranked
         ]
+        self._favor_loaded_owners_reserve(ranked, weights, run_s)
+        if not sum(weights):
+            return ranked[0]
         return self.random.choices(ranked, weights)[0]
 
+    def _favor_loaded_owners_reserve(
+        self, ranked: list[RankedTarget], weights: list[float], run_s: float
+    ):
+        """Give the reserve a part of the requests while the busy owners are loaded.
+
+        Until it knows the object, it is expected to answer late, and would never be
+        chosen otherwise.
+        """
+        reserve = ranked[-1]
+        if not reserve.rank or len(ranked) == 1:
+            return
+        if ranked[0].first_run_share > MAX_FIRST_RUN_SHARE:
+            return
+        wait_s = min(one.expected.wait_s for one in ranked[:-1])
+        if wait_s - reserve.expected.wait_s > WARMING_WAIT_RUNS * run_s:
+            weights[-1] = max(weights[-1], WARMING_FRACTION * sum(weights[:-1]))
+
     def _is_in_time(self, call: Call, ranked: RankedTarget, room: PoolRoom) -> bool:
         expected, route = ranked.expected, call.route
         if expected.wait_s <= 0:
--- a/packages/gateway/plantainshed_gateway/selection/shedding.py
+++ b/packages/gateway/plantainshed_gateway/selection/shedding.py
@@ -32,7 +32,7 @@
 # short whatever was offered.
 SHORT_OCCUPANCY = 0.85
 # Part of the slots that can be kept busy without long waits.
-USABLE_FRACTION = 0.95
+USABLE_FRACTION = 0.9
 # Smallest chance of a request, as a part of that of all requests of its pool.
 MIN_CHANCE = 0.3
 # Number of workspaces of a pool above which those that ask for nothing are forgotten,
