--- a/packages/gateway/plantainshed_gateway/selection/choice.py
+++ b/packages/gateway/plantainshed_gateway/selection/choice.py
@@ -33,9 +33,11 @@
 # Difference of expected times, in run times, at which a target is chosen e times less
 # often.
 SPREAD_RUNS = 0.25
-# While an object's busy owners have a longer queue than its reserve, by this many run
-# times, the reserve gets this fraction of what they get, so that it learns the object.
-WARMING_WAIT_RUNS = 0.02
+# Part of the time that a later run leaves of the objective. While the busy owners' wait
+# is shorter, the reserve gets nothing: a first run there costs more than the wait.
+MAX_OWNER_WAIT_FRACTION = 0.1
+# While it is longer, the reserve gets at least this fraction of what the busy owners
+# get, so that it learns the object.
 WARMING_FRACTION = 0.5
 # Largest share of first runs at busy owners at which reserves learn objects. While most
 # runs are first ones, as after a start, further ones would make everybody wait.
@@ -137,7 +139,7 @@
         owned = self._rank(call.pool, owners)
         in_time = [one for one in owned if self._is_in_time(call, one, room)]
         if in_time:
-            return self._draw(call.pool, in_time)
+            return self._draw(call, in_time)
         if owners and room.occupancy >= SHORT_OCCUPANCY:
             # A first run elsewhere takes as long as several later ones. While most
             # slots are busy, that would make all requests wait longer.
@@ -171,35 +173,30 @@
         run_time = self.run_times.of(pool)
         return run_time.later_s if run_time else 0.0
 
-    def _draw(self, pool: str, ranked: list[RankedTarget]) -> RankedTarget:
-        run_s = max(0.001, self._run_s(pool))
+    def _draw(self, call: Call, ranked: list[RankedTarget]) -> RankedTarget:
+        """Draw among the busy owners, and the reserve if they are loaded."""
+        run_s = max(0.001, self._run_s(call.pool))
+        busy = [one for one in ranked if not one.rank]
+        if busy and not self._needs_reserve(call, busy, run_s):
+            ranked = busy
         soonest_s = min(one.expected.total_s for one in ranked)
         weights = [
             math.exp((soonest_s - one.expected.total_s) / (SPREAD_RUNS * run_s))
-            * (1.0 - one.first_run_share if one.rank else 1.0)
             for one in ranked
         ]
-        self._favor_loaded_owners_reserve(ranked, weights, run_s)
-        if not sum(weights):
-            return ranked[0]
+        if len(ranked) > len(busy) > 0:
+            weights[-1] *= 1.0 - ranked[-1].first_run_share
+            weights[-1] = max(weights[-1], WARMING_FRACTION * sum(weights[:-1]))
         return self.random.choices(ranked, weights)[0]
 
-    def _favor_loaded_owners_reserve(
-        self, ranked: list[RankedTarget], weights: list[float], run_s: float
-    ):
-        """Give the reserve a part of the requests while the busy owners are loaded.
-
-        Until it knows the object, it is expected to answer late, and would never be
-        chosen otherwise.
-        """
-        reserve = ranked[-1]
-        if not reserve.rank or len(ranked) == 1:
-            return
-        if ranked[0].first_run_share > MAX_FIRST_RUN_SHARE:
-            return
-        wait_s = min(one.expected.wait_s for one in ranked[:-1])
-        if wait_s - reserve.expected.wait_s > WARMING_WAIT_RUNS * run_s:
-            weights[-1] = max(weights[-1], WARMING_FRACTION * sum(weights[:-1]))
+    def _needs_reserve(
+        self, call: Call, busy: list[RankedTarget], run_s: float
+    ) -> bool:
+        if busy[0].first_run_share > MAX_FIRST_RUN_SHARE:
+            return False
+        soonest = min((one.expected for one in busy), key=lambda e: e.wait_s)
+        slack_s = max(0.0, call.route.objective_s - soonest.way_s - run_s)
+        return soonest.wait_s > MAX_OWNER_WAIT_FRACTION * slack_s
 
     def _is_in_time(self, call: Call, ranked: RankedTarget, room: PoolRoom) -> bool:
         expected, route = ranked.expected, call.route
