--- a/packages/gateway/plantainshed_gateway/heartbeats.py
+++ b/packages/gateway/plantainshed_gateway/heartbeats.py
@@ -205,7 +205,7 @@
         Load that the domain's live VMs cause, by `target_digest`. None if none of them
         sends reports.
     load_age_s : float
-        Age of the oldest report in `load`.
+        Mean age of the reports in `load`.
     """
 
     failure_domain: str
--- a/packages/gateway/plantainshed_gateway/load_sharing.py
+++ b/packages/gateway/plantainshed_gateway/load_sharing.py
@@ -23,8 +23,8 @@
 # for all control messages; see `speakers.SUMMARY_LOAD_BYTES_PER_S`.
 HEARTBEAT_LOAD_BYTES_PER_S = 7_000
 HEARTBEATS_PER_S = 2
-# Two of 256 targets share a digest in 0.2 % of all fleets. One of them then has the
-# load of both.
+# Two of 256 targets share a digest in 0.2 % of all fleets. What is reported of either
+# then counts for one of them.
 TARGET_DIGEST_BITS = 24
 # Interval at which targets and objects without requests are forgotten while no reports
 # are sent.
--- a/packages/gateway/plantainshed_gateway/speakers.py
+++ b/packages/gateway/plantainshed_gateway/speakers.py
@@ -17,6 +17,7 @@
 import itertools
 import math
 from collections import Counter
+from statistics import fmean
 
 import trio
 from attrs import define, evolve
@@ -43,8 +44,7 @@
 SUMMARIES_PER_BUNDLE = 8
 # Age up to which a VM's report counts in its domain's load. A VM that dies is missing
 # in the next summary after that, which arrives everywhere within 1.5 s (1 s between
-# summaries, 0.5 s until it is relayed). The last summary that contains its report
-# expires 3 s after that report, so without this limit the whole domain's load would.
+# summaries, 0.5 s until it is relayed), so its load counts for less than 3 s.
 MAX_SUMMED_LOAD_AGE_S = 1.2
 # Bytes per second that one VM may send for load reports in summaries, of the 26,000 for
 # all control messages. Reports in heartbeats may use 7,000, see `load_sharing`, and the
@@ -186,7 +186,11 @@
         )
 
     def _domain_load(self, known: list[Member]) -> tuple[LoadReport | None, float]:
-        """Return the load of the domain's VMs and the age of the oldest report."""
+        """Return the load of the domain's VMs and the mean age of their reports.
+
+        With the age of the oldest report, a sum that contains a late one would look
+        older than the sum before it, which other VMs would then keep.
+        """
         now = trio.current_time()
         counted = [
             member
@@ -197,7 +201,7 @@
         if not counted:
             return None, 0.0
         load = sum_of(member.heartbeat.load for member in counted)
-        age_s = round(max(now - member.heard_at for member in counted), 2)
+        age_s = round(fmean(now - member.heard_at for member in counted), 2)
         return trimmed(load, self._max_load_bytes()), age_s
 
     def _max_load_bytes(self) -> float:
