--- a/packages/gateway/plantainshed_gateway/selection/load_reports.py
+++ b/packages/gateway/plantainshed_gateway/selection/load_reports.py
@@ -28,9 +28,22 @@
 # Smallest values that are reported. Smaller ones change no choice.
 MIN_IN_FLIGHT = 0.02
 MIN_RATE = 0.05
+# Rate of an object below which it is forgotten. One request has this rate after 10 s.
+MIN_KEPT_RATE = 0.01
 # Largest number of targets and objects in one report, which bounds its size.
 MAX_TARGETS = 256
 MAX_OBJECTS = 32
+# Sizes in a message after compression, measured with object keys of 17 characters and
+# 3 to 76 targets.
+TARGET_BYTES = 4.6
+OBJECT_BYTES = 8.0
+RATE_BYTES = 6.0
+# Fraction of a report's size that targets may use. Which of them are busy matters more
+# than which objects are requested often.
+TARGETS_FRACTION = 0.9
+# Longest object key that is reported. Callers choose the keys, and long ones would let
+# them use up a VM's memory or make its heartbeats too large to send.
+MAX_OBJECT_KEY_LENGTH = 64
 # Number of objects whose rates a VM measures. The rarest are dropped beyond it.
 MAX_MEASURED_OBJECTS = 2_000
 # Time for which the sums over all VMs are reused.
@@ -116,7 +129,7 @@
     def note_offered(self, pool: str, priority: int, object_key: str | None):
         """Record a request of a caller, whether it is admitted or not."""
         self._offered.setdefault((pool, priority), _Rate()).add()
-        if object_key is None:
+        if object_key is None or len(object_key) > MAX_OBJECT_KEY_LENGTH:
             return
         if len(self._objects) >= MAX_MEASURED_OBJECTS:
             self._drop_rare_objects()
@@ -128,10 +141,8 @@
 
     def report(self) -> LoadReport:
         """Return this VM's load at present."""
-        in_flight = {name: a.current() for name, a in self._in_flight.items()}
-        for instance, average in in_flight.items():
-            if average < MIN_IN_FLIGHT and not self._in_flight[instance].value:
-                del self._in_flight[instance]
+        self.forget_idle()
+        in_flight = {name: a.average for name, a in self._in_flight.items()}
         offered: dict[str, dict[int, float]] = {}
         for (pool, priority), rate in self._offered.items():
             if rate.current() >= MIN_RATE:
@@ -140,13 +151,26 @@
             targets=largest(in_flight, MAX_TARGETS, MIN_IN_FLIGHT),
             offered=offered,
             objects=largest(
-                {key: rate.current() for key, rate in self._objects.items()},
+                {key: rate.rate for key, rate in self._objects.items()},
                 MAX_OBJECTS,
                 MIN_RATE,
             ),
             runs=self._run_rates(),
         )
 
+    def forget_idle(self):
+        """Forget targets and objects that have had no requests for a while."""
+        self._in_flight = {
+            instance: average
+            for instance, average in self._in_flight.items()
+            if average.current() >= MIN_IN_FLIGHT or average.value
+        }
+        self._objects = {
+            key: rate
+            for key, rate in self._objects.items()
+            if rate.current() >= MIN_KEPT_RATE
+        }
+
     def _run_rates(self) -> dict[str, tuple[float, float]]:
         rates: dict[str, list[float]] = {}
         for (pool, is_first), rate in self._runs.items():
@@ -221,12 +245,15 @@
             for (kind, _), received in self._received.items()
             if kind == "vm" and now - received.measured_at < MAX_AGE_S
         ]
-        total = sum_of([self.own.report(), *others])
-        return LoadReport(
-            largest(total.targets, MAX_TARGETS, MIN_IN_FLIGHT),
-            total.offered,
-            largest(total.objects, MAX_OBJECTS, MIN_RATE),
-            total.runs,
+        return trimmed(sum_of([self.own.report(), *others]))
+
+    def count_sources(self, kind: str) -> int:
+        """Return how many reports count now, of kind ``vm`` or ``domain``."""
+        now = trio.current_time()
+        return sum(
+            1
+            for source, received in self._received.items()
+            if source[0] == kind and now - received.measured_at < MAX_AGE_S
         )
 
     def in_flight_of_others(self, instance: str) -> float:
@@ -248,6 +275,25 @@
     return total
 
 
+def trimmed(report: LoadReport, max_bytes: float = math.inf) -> LoadReport:
+    """Return a report with only its largest values, so that it fits into a size.
+
+    Parameters
+    ----------
+    report : LoadReport
+    max_bytes : float
+        Size in a message. The maximum numbers of targets and objects apply as well.
+    """
+    rates = sum(len(by_priority) for by_priority in report.offered.values())
+    max_bytes = max(0.0, max_bytes - RATE_BYTES * (rates + len(report.runs)))
+    max_targets = min(MAX_TARGETS, TARGETS_FRACTION * max_bytes / TARGET_BYTES)
+    targets = largest(report.targets, int(max_targets), MIN_IN_FLIGHT)
+    left_bytes = max_bytes - len(targets) * TARGET_BYTES
+    max_objects = min(MAX_OBJECTS, left_bytes / OBJECT_BYTES)
+    objects = largest(report.objects, int(max_objects), MIN_RATE)
+    return LoadReport(targets, report.offered, objects, report.runs)
+
+
 def _add(total: dict, values: dict):
     for key, value in values.items():
         total[key] = total.get(key, 0.0) + value
