--- a/packages/gateway/plantainshed_gateway/speakers.py
+++ b/packages/gateway/plantainshed_gateway/speakers.py
@@ -7,11 +7,12 @@
 relay them inside their own.
 
 All VMs compute the same speakers from the set of live VMs, with a preference for VMs
-with high link bandwidth. There are two speakers, and each sends to another VM of the
-other domain, so a single lost or paused VM does not silence a domain. The VMs of a
-domain that receive summaries differ by sending domain, because each VM relays what it
-receives to its whole domain: with 80 VMs in 6 domains, the two speakers would send most
-bytes of all if they relayed everything.
+with high link bandwidth. There are two speakers, and each sends to the speaker of the
+same rank in the other domain, so a single lost or paused VM does not silence a domain.
+
+While load reports are exchanged, the VMs of a domain that receive summaries differ by
+sending domain, because each VM relays what it receives to its whole domain: with 80 VMs
+in 6 domains, the two speakers would send most bytes of all if they relayed everything.
 """
 
 import itertools
@@ -131,6 +132,8 @@
             # the one that receives the summary relays it.
             return members[self._turn % len(members)].ip
         order = _ranked(domain, [m.heartbeat for m in alive])
+        if self.members.own.load is None:
+            return self.members.table[order[min(rank, len(order) - 1)]].ip
         senders = sorted(self._domain_sizes().keys() - {domain})
         # The first places are those of the domain's own speakers, which send summaries
         # to all other domains and relay only what remains for them.
