--- a/packages/gateway/plantainshed_gateway/selection/shedding.py
+++ b/packages/gateway/plantainshed_gateway/selection/shedding.py
@@ -33,11 +33,11 @@
 SHORT_OCCUPANCY = 0.85
 # Part of the slots that can be kept busy without long waits.
 USABLE_FRACTION = 0.9
-# Requests in flight per slot that are aimed at while a pool is short. A run time learned
-# from calm targets is too short while others are slow; queues show it.
+# Requests in flight per slot that are aimed at while a pool is short. Run times learnt
+# from calm targets are too short while others are slow; queues show it.
 AIMED_OCCUPANCY = 1.05
-# Smallest chance of a request, as a part of that of all requests of its pool: of one that
-# can be answered within its objective, and of one that can't.
+# Smallest chance of a request, as a part of that of all requests of its pool: of one
+# that can be answered within its objective, and of one that can't.
 MIN_CHANCE = 0.3
 MIN_CHANCE_LATE = 0.1
 # Number of workspaces of a pool above which those that ask for nothing are forgotten,
