Fix what the reviews of selection and bodies found

- Short pools: cold and limited targets are no room, queues longer than the objective bears start the refusals, and a refused request asks for no permit.
- Run times: learned in an overload too, not from errors; a first run that exceeds the time left no longer refuses a request on an idle pool.
- An empty body with a length kept its connection from being used again; a target whose whole answer a caller reads slowly no longer counts as silent.

--- a/packages/gateway/plantainshed_gateway/call.py
+++ b/packages/gateway/plantainshed_gateway/call.py
@@ -57,6 +57,8 @@
         None if it was not chosen by the load that all VMs report.
     progress : ResponseProgress
         How far the response to the last attempt has got.
+    is_shed : bool
+        Whether it was refused because its pool is short of room.
     fingerprint : str
         Identifies the same request when it is repeated; see `PoisonTracker`.
     """
@@ -82,6 +84,7 @@
     expected_wait_s: float | None = None
     expected_s: float | None = None
     progress: ResponseProgress = field(factory=ResponseProgress)
+    is_shed: bool = False
     fingerprint: str = ""
 
     def apply_relayed(self, relayed: RelayedRequest):
--- a/packages/gateway/plantainshed_gateway/cancelled_attempts.py
+++ b/packages/gateway/plantainshed_gateway/cancelled_attempts.py
@@ -19,6 +19,9 @@
 ) -> AttemptFailed | None:
     """Return the failure of a target that a cancelled attempt shows, if any."""
     timeout_s = call.route.timeout_s
+    if call.progress.has_ended:
+        # Only the caller reads slowly.
+        return None
     if not call.progress.has_begun:
         if not state.is_silent_since(call.attempted_at, timeout_s):
             return None
--- a/packages/gateway/plantainshed_gateway/memory_budget.py
+++ b/packages/gateway/plantainshed_gateway/memory_budget.py
@@ -76,12 +76,10 @@
     @property
     def is_slow(self) -> bool:
         """Whether the bytes arrive too slowly to hold memory for the rest."""
+        if self.used == self.size:
+            return False
         elapsed_s = trio.current_time() - self.began_at
-        return (
-            self.used < self.size
-            and elapsed_s >= SLOW_AFTER_S
-            and self.used < elapsed_s * SLOW_BYTES_PER_S
-        )
+        return elapsed_s >= SLOW_AFTER_S and self.used < elapsed_s * SLOW_BYTES_PER_S
 
 
 @define
--- a/packages/gateway/plantainshed_gateway/request_bodies.py
+++ b/packages/gateway/plantainshed_gateway/request_bodies.py
@@ -59,7 +59,7 @@
         within the caller's deadline, and not much slower than `SLOW_BYTES_PER_S`.
         """
         length = exchange.declared_length
-        if length == 0 or configuration is None:
+        if configuration is None:
             return b""
         max_bytes = configuration.limits.max_body_bytes
         if length is not None and length > max_bytes:
--- a/packages/gateway/plantainshed_gateway/response_progress.py
+++ b/packages/gateway/plantainshed_gateway/response_progress.py
@@ -14,6 +14,8 @@
     ----------
     has_begun : bool
         Whether the head of a response has arrived whose body has not ended.
+    has_ended : bool
+        Whether a whole response has arrived.
     handed_over_at : float or None
         When the part that arrived last was handed over to be sent to the caller; None
         while the target's next part is awaited.
@@ -22,6 +24,7 @@
     """
 
     has_begun: bool = False
+    has_ended: bool = False
     handed_over_at: float | None = None
     handed_over_s: float = 0.0
 
@@ -33,6 +36,7 @@
             self.handed_over_s += trio.current_time() - self.handed_over_at
             self.handed_over_at = None
         self.has_begun = False
+        self.has_ended = True
 
     def target_s(self, sent_at: float) -> float:
         """Return how long the target took for what has arrived since `sent_at`."""
--- a/packages/gateway/plantainshed_gateway/selection/choice.py
+++ b/packages/gateway/plantainshed_gateway/selection/choice.py
@@ -28,7 +28,7 @@
 from .returning import Returning
 from .round_trips import RoundTrips
 from .run_times import RunTimes
-from .shedding import SHORT_OCCUPANCY, PoolRoom, Shedding, rank_of
+from .shedding import PoolRoom, Shedding, rank_of
 
 # Difference of expected times, in run times, at which a target is chosen e times less
 # often.
@@ -112,6 +112,14 @@
         self.fleet_load.own.note_offered(call.pool, rank, call.object_key)
         return self.shedding.admits(room, call.pool, rank, call.workspace_name)
 
+    def room_of(self, call: Call, usable: Sequence[TargetState]) -> PoolRoom:
+        """Return the state of the pool that a request goes to."""
+        way_s = self.expected_times.round_trips.longest_s()
+        slack_s = call.route.objective_s - way_s - self._run_s(call.pool)
+        return self.shedding.room_of(
+            call.pool, call.route.name, call.home_regions, slack_s, usable
+        )
+
     def owner_count(self, call: Call, object_key: str, slots: int) -> int:
         """Return the number of an object's owners, including the reserve."""
         busy = self.owners.busy_owners(object_key, call.pool, slots)
@@ -121,7 +129,7 @@
         self,
         call: Call,
         owners: Sequence[TargetState],
-        others: Sequence[TargetState],
+        untried: Sequence[TargetState],
         room: PoolRoom,
     ) -> RankedTarget | None:
         """Return the target that gets a request, or None if it would wait too long.
@@ -132,18 +140,19 @@
         owners : sequence of TargetState
             Owners of the object by rank; the last one is the reserve. Empty if the
             request concerns no object.
-        others : sequence of TargetState
-            Targets that do not own it.
+        untried : sequence of TargetState
+            All targets that may get the request.
         room : PoolRoom
         """
         owned = self._rank(call.pool, owners)
         in_time = [one for one in owned if self._is_in_time(call, one, room)]
         if in_time:
             return self._draw(call, in_time)
-        if owners and room.occupancy >= SHORT_OCCUPANCY:
+        if owners and room.is_busy:
             # A first run elsewhere takes as long as several later ones. While most
             # slots are busy, that would make all requests wait longer.
             return None
+        others = [s for s in untried if s not in owners and not s.is_restricted]
         compared = self.random.sample(others, min(OTHERS_COMPARED, len(others)))
         unowned = [
             RankedTarget(state, NOT_OWNER, self.expected_times.at(state, 1.0))
@@ -187,6 +196,8 @@
         if len(ranked) > len(busy) > 0:
             weights[-1] *= 1.0 - ranked[-1].first_run_share
             weights[-1] = max(weights[-1], WARMING_FRACTION * sum(weights[:-1]))
+        if not any(weights):
+            return ranked[0]
         return self.random.choices(ranked, weights)[0]
 
     def _needs_reserve(
@@ -202,7 +213,9 @@
         expected, route = ranked.expected, call.route
         if expected.wait_s <= 0:
             return True
-        if expected.total_s > call.seconds_left:
+        # A first run may take longer than the time left, but only the run shows it.
+        soonest_s = expected.way_s + expected.wait_s + self._run_s(call.pool)
+        if soonest_s > call.seconds_left:
             return False
         longest_s = route.objective_s * MAX_WAIT_RATIO
         if room.is_short:
--- a/packages/gateway/plantainshed_gateway/selection/expected_time.py
+++ b/packages/gateway/plantainshed_gateway/selection/expected_time.py
@@ -17,6 +17,11 @@
 # Age up to which the load that an answer names is used as it is. Later, the reports of
 # all VMs are better.
 FRESH_ANSWER_S = 0.25
+# First runs per second that are imagined beside the reported ones. They make the share
+# of first runs 1 while there are hardly any runs.
+PRIOR_RUNS_PER_S = 0.2
+# Run time that is assumed for waits before any answer has shown one.
+DEFAULT_RUN_S = 0.1
 # Steepness of the wait below one request per slot. Requests arrive unevenly, so some
 # wait although slots are free on average.
 WAIT_EXPONENT = 2
@@ -74,11 +79,12 @@
         """
         way_s = self.round_trips.estimate_s(state.entry.failure_domain)
         run_time = self.run_times.of(state.entry.pool)
+        runs_ahead = waiting_runs(self.load_of(state), state.entry.slots)
         if run_time is None:
-            return ExpectedTime(way_s, 0.0, 0.0)
+            return ExpectedTime(way_s, runs_ahead * DEFAULT_RUN_S, 0.0)
         pool_share = first_run_share_of(self.fleet_load, state.entry.pool, 0)
         mean_run_s = run_time.expected_s(pool_share)
-        wait_s = waiting_runs(self.load_of(state), state.entry.slots) * mean_run_s
+        wait_s = runs_ahead * mean_run_s
         return ExpectedTime(way_s, wait_s, run_time.expected_s(first_run_share))
 
 
@@ -109,5 +115,4 @@
     others = fleet_load.of_others().runs.get(key, (0.0, 0.0))
     own = fleet_load.own.run_rates(key)
     all_runs, first_runs = others[0] + own[0], others[1] + own[1]
-    # One imagined first run per second makes the share 1 while there are hardly any.
-    return (first_runs + 1.0) / (all_runs + 1.0)
+    return (first_runs + PRIOR_RUNS_PER_S) / (all_runs + PRIOR_RUNS_PER_S)
--- a/packages/gateway/plantainshed_gateway/selection/placement.py
+++ b/packages/gateway/plantainshed_gateway/selection/placement.py
@@ -174,8 +174,9 @@
         """Choose by the load that all VMs report; see `choice` and `shedding`."""
         eligible = self.registry.eligible(call.pool, call.home_regions)
         usable = usable_among(eligible)
-        room = self.load_choice.shedding.room_of(call.pool, call.home_regions, usable)
-        if not self.load_choice.admits(call, room):
+        room = self.load_choice.room_of(call, usable)
+        call.is_shed = not self.load_choice.admits(call, room)
+        if call.is_shed:
             return None
         untried = [s for s in usable if s.entry.instance not in excluded]
         candidates = self._owners_by_load(call, eligible, untried)
@@ -184,11 +185,10 @@
         )
         if restricted is not None:
             return restricted
-        owned = set(candidates.owners)
-        others = [s for s in untried if s not in owned and not s.is_restricted]
-        chosen = self.load_choice.choose(call, candidates.owners, others, room)
+        chosen = self.load_choice.choose(call, candidates.owners, untried, room)
         if chosen is None:
-            return None
+            others = [state for state in untried if state.is_restricted]
+            return self._first_admitting(others, call, pool, excluded, vms)
         call.owner_rank = chosen.rank
         call.expected_wait_s = round(chosen.expected.wait_s, 3)
         call.expected_s = round(chosen.expected.total_s, 3)
@@ -206,13 +206,17 @@
         ranked = self._ranked_by_object(call, eligible, MAX_RANKED_BY_LOAD)
         ranking = [state for state in ranked if state in among]
         if not any(not state.is_restricted for state in ranking):
-            ranking = _ranked(call.object_key, usable)
+            unrestricted = [s for s in usable if not s.is_restricted]
+            ranking += _ranked(call.object_key, unrestricted)
         return _select_candidates(ranking, count)
 
-    def note_answer(self, call: Call, state: TargetState, seconds: float):
+    def note_answer(
+        self, call: Call, state: TargetState, seconds: float, is_success: bool = True
+    ):
         """Record the duration of an attempt that a target answered."""
         self.queues.note_answer(state, seconds)
-        if self.load_choice is not None:
+        # Errors are often answered without a run.
+        if self.load_choice is not None and is_success:
             self.load_choice.note_answer(call, state, seconds)
 
     def retry_after_s(self, call: Call) -> float:
@@ -235,6 +239,8 @@
         excluded : set of str
             Instances that earlier attempts of this request used.
         """
+        if call.is_shed:
+            return []
         states = [
             state
             for state in self.registry.usable(call.pool, call.home_regions)
--- a/packages/gateway/plantainshed_gateway/selection/run_times.py
+++ b/packages/gateway/plantainshed_gateway/selection/run_times.py
@@ -69,14 +69,21 @@
         self._by_pool: dict[str, _Samples] = {}
 
     def note_answer(self, state: TargetState, seconds: float) -> bool | None:
-        """Record the duration of an attempt, if the target reports no queue.
+        """Record the duration of an attempt, unless the target reports a queue.
 
         Return whether it was a first run, or None if that is not known.
         """
-        if state.load is None or state.load.waiting > 0:
+        if state.load is None:
             return None
         seconds -= self.round_trips.known_s(state.entry.failure_domain) or 0.0
         samples = self._by_pool.setdefault(state.entry.pool, _Samples())
+        if state.load.waiting > 0:
+            if samples.run_time is None:
+                # In an overload, no target may be without a queue for long.
+                busy = max(1, state.load.running)
+                seconds *= busy / (busy + state.load.waiting)
+                samples.run_time = RunTime(max(0.001, seconds), max(0.001, seconds))
+            return None
         samples.recent.append(max(0.001, seconds))
         samples.since_update += 1
         if samples.run_time is None or samples.since_update >= SAMPLES_PER_UPDATE:
--- a/packages/gateway/plantainshed_gateway/selection/shedding.py
+++ b/packages/gateway/plantainshed_gateway/selection/shedding.py
@@ -19,23 +19,31 @@
 """
 
 import random
+from collections.abc import Sequence
 
 import trio
 from attrs import define, field
 
-from .expected_time import ExpectedTimes, first_run_share_of
+from .expected_time import ExpectedTimes
 from .load_reports import FleetLoad, Rate
 from .registry import Registry, TargetState
 from .run_times import RunTimes
 
-# Requests in flight per slot above which a pool may be short of room. Below, waits are
-# short whatever was offered.
-SHORT_OCCUPANCY = 0.85
+# Part of the time that a run leaves of the objective in which requests may wait while a
+# pool is short, and the smallest number of requests in flight per slot to aim at.
+WAITING_FRACTION = 0.1
+MIN_AIMED_OCCUPANCY = 1.05
+# A pool may be short of room from this many requests per slot below those aimed at.
+SHORT_MARGIN = 0.2
+# Requests in flight per slot above which a first run more would make others wait.
+BUSY_OCCUPANCY = 0.85
 # Part of the slots that can be kept busy without long waits.
 USABLE_FRACTION = 0.9
-# Requests in flight per slot that are aimed at while a pool is short. Run times learnt
-# from calm targets are too short while others are slow; queues show it.
-AIMED_OCCUPANCY = 1.05
+# Exponent of the part admitted by queues. At 1, twice the room offered would settle at
+# twice the requests per slot that are aimed at.
+QUEUE_GAIN = 2
+# Number of pools, routes and regions whose state is kept.
+MAX_ROOMS = 1_000
 # Smallest chance of a request, as a part of that of all requests of its pool: of one
 # that can be answered within its objective, and of one that can't.
 MIN_CHANCE = 0.3
@@ -74,6 +82,11 @@
     by_rank: dict[int, float] = field(factory=dict)
     computed_at: float = float("-inf")
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether most slots are busy."""
+        return self.occupancy >= BUSY_OCCUPANCY
+
     @property
     def is_short(self) -> bool:
         """Whether more was offered than the pool can run."""
@@ -107,42 +120,62 @@
         self._by_workspace: dict[tuple[str, int], dict[str | None, Rate]] = {}
 
     def room_of(
-        self, pool: str, home_regions: frozenset[str], usable: list[TargetState]
+        self,
+        pool: str,
+        route: str,
+        home_regions: frozenset[str],
+        slack_s: float,
+        usable: Sequence[TargetState],
     ) -> PoolRoom:
-        """Return the state of a pool, or of its part in some regions.
+        """Return the state of a pool for a route, or of its part in some regions.
 
         Parameters
         ----------
-        pool : str
+        pool, route : str
         home_regions : frozenset of str
-        usable : list of TargetState
+        slack_s : float
+            Time that a run leaves of the route's objective.
+        usable : sequence of TargetState
             Targets of the pool in these regions.
         """
-        key = pool, home_regions
+        key = pool, route, home_regions
         room = self._rooms.get(key)
         if room is None or trio.current_time() - room.computed_at >= CACHE_S:
-            room = self._rooms[key] = self._compute(pool, home_regions, usable)
+            if len(self._rooms) >= MAX_ROOMS:
+                self._rooms.clear()
+            room = self._rooms[key] = self._compute(pool, home_regions, slack_s, usable)
         return room
 
     def _compute(
-        self, pool: str, home_regions: frozenset[str], usable: list[TargetState]
+        self,
+        pool: str,
+        home_regions: frozenset[str],
+        slack_s: float,
+        usable: Sequence[TargetState],
     ) -> PoolRoom:
         room = PoolRoom(computed_at=trio.current_time())
-        slots = sum(state.entry.slots for state in usable)
         run_time = self.run_times.of(pool)
+        # Cold targets and those that name a limit take few requests, so their free
+        # slots are no room.
+        usable = [state for state in usable if not state.is_restricted]
+        slots = sum(state.entry.slots for state in usable)
         if not slots or run_time is None:
             return room
         in_flight = sum(self.expected_times.load_of(state) for state in usable)
         room.occupancy = in_flight / slots
-        if room.occupancy < SHORT_OCCUPANCY or home_regions:
+        waiting = WAITING_FRACTION * slack_s / max(run_time.later_s, 0.001)
+        aimed = max(MIN_AIMED_OCCUPANCY, 1.0 + waiting)
+        if room.occupancy < aimed - SHORT_MARGIN or home_regions:
             # What is offered is not known by region; the wait expected at each target
             # bounds what goes to a part of a pool.
             return room
-        run_s = run_time.expected_s(first_run_share_of(self.fleet_load, pool, 0))
-        capacity = USABLE_FRACTION * slots / run_s
+        # Run times are learned from targets without queues. While some targets are
+        # slow, queues show that there is less room than by run times.
         offered = self.fleet_load.offered(pool)
         total = sum(offered.values())
-        capacity = min(capacity, total * AIMED_OCCUPANCY / room.occupancy)
+        by_queues = min(1.0, aimed / room.occupancy) ** QUEUE_GAIN
+        by_runs = USABLE_FRACTION * slots / max(run_time.later_s, 0.001)
+        capacity = min(total * by_queues, by_runs)
         if total > capacity:
             room.chance = capacity / total
             room.by_rank = chances(offered, capacity)
@@ -163,14 +196,14 @@
         """
         rates = self._by_workspace.setdefault((pool, rank), {})
         rates.setdefault(workspace, Rate()).add()
+        if len(rates) > MAX_WORKSPACES:
+            self._by_workspace[pool, rank] = {
+                name: rate for name, rate in rates.items() if rate.current() > MIN_RATE
+            }
         if not room.is_short:
             return True
         of_rank = room.by_rank.get(rank, room.chance)
         demand = {name: rate.current() for name, rate in rates.items()}
-        if len(rates) > MAX_WORKSPACES:
-            self._by_workspace[pool, rank] = {
-                name: rate for name, rate in rates.items() if rate.rate > MIN_RATE
-            }
         chance = fair_chance(demand, of_rank, workspace)
         return self.random.random() < max(chance, min_chance(rank) * room.chance)
 
--- a/packages/gateway/plantainshed_gateway/serving.py
+++ b/packages/gateway/plantainshed_gateway/serving.py
@@ -382,7 +382,8 @@
         else:
             state.note_success()
         self.poison.note_answered(call.fingerprint)
-        self.placement.note_answer(call, state, took_s)
+        is_success = answer.head.status < HTTPStatus.BAD_REQUEST
+        self.placement.note_answer(call, state, took_s, is_success)
         self.metrics.attempt_latency.observe({"pool": call.pool}, took_s)
         self._log(call, answer.head.status, None, attempt_s=round(took_s, 4))
         return None
--- a/packages/gateway/plantainshed_gateway/speakers.py
+++ b/packages/gateway/plantainshed_gateway/speakers.py
@@ -222,7 +222,7 @@
         if received > largest - SPEAKERS_PER_DOMAIN:
             # Speakers relay summaries, too.
             sent_per_s = senders + relayed_per_s
-        return SUMMARY_LOAD_BYTES_PER_S / sent_per_s
+        return SUMMARY_LOAD_BYTES_PER_S / max(1, sent_per_s)
 
     def queue_for_relay(self, summary: DomainSummary):
         """Queue another domain's summary to be relayed inside this domain."""
