Exchange load reports only where the settings ask for it

So targets are chosen by answers, as before, unless share_load is set. Requests are counted as offered in one place, whichever way targets are chosen.

Ran tests.platform.test_load_reports and the tests of the choice.

--- a/packages/gateway/plantainshed_gateway/call.py
+++ b/packages/gateway/plantainshed_gateway/call.py
@@ -57,6 +57,8 @@
         None if it was not chosen by the load that all VMs report.
     progress : ResponseProgress
         How far the response to the last attempt has got.
+    rank : int
+        Rank in which requests are admitted to a short pool; see `selection.shedding`.
     is_shed : bool
         Whether it was refused because its pool is short of room.
     fingerprint : str
@@ -84,6 +86,7 @@
     expected_wait_s: float | None = None
     expected_s: float | None = None
     progress: ResponseProgress = field(factory=ResponseProgress)
+    rank: int = 0
     is_shed: bool = False
     fingerprint: str = ""
 
--- a/packages/gateway/plantainshed_gateway/selection/placement.py
+++ b/packages/gateway/plantainshed_gateway/selection/placement.py
@@ -139,6 +139,8 @@
         """
         pool = configuration.pools[call.pool]
         call.owner_rank = call.expected_wait_s = call.expected_s = None
+        if self.load_choice is not None and not call.attempts:
+            self.load_choice.note_offered(call)
         if self._is_chosen_by_load(call):
             return self._choose_by_load(call, pool, excluded, vms)
         candidates = self._candidates(call)
--- a/packages/gateway/plantainshed_gateway/settings.py
+++ b/packages/gateway/plantainshed_gateway/settings.py
@@ -125,7 +125,7 @@
     store: str
     bounds: Bounds
     link_mbps: float = 1000.0
-    share_load: ShareLoad = ShareLoad.AUTO
+    share_load: ShareLoad = ShareLoad.NEVER
     memory_mb: float = DEFAULT_MEMORY_MB
 
 
@@ -169,7 +169,7 @@
         )
 
     def _share_load(self) -> ShareLoad:
-        text = self.parser.get("selection", "share_load", fallback=ShareLoad.AUTO)
+        text = self.parser.get("selection", "share_load", fallback=ShareLoad.NEVER)
         try:
             return ShareLoad(text.strip())
         except ValueError as error:
