--- a/packages/gateway/plantainshed_gateway/gateway.py
+++ b/packages/gateway/plantainshed_gateway/gateway.py
@@ -140,9 +140,7 @@
             self.queues,
             self.connections,
             self.round_trips,
-            LoadAwareChoice(
-                self.load_sharing.fleet_load, self.registry, self.round_trips
-            ),
+            LoadAwareChoice(self.load_sharing.fleet_load, self.round_trips),
         )
         self.forwarder = Forwarder(
             platform_adapter.wire,
--- a/packages/gateway/plantainshed_gateway/selection/choice.py
+++ b/packages/gateway/plantainshed_gateway/selection/choice.py
@@ -24,7 +24,7 @@
 )
 from .load_reports import FleetLoad
 from .owners import RESERVE, OwnerCounts
-from .registry import Registry, TargetState
+from .registry import TargetState
 from .returning import Returning
 from .round_trips import RoundTrips
 from .run_times import RunTimes
@@ -81,20 +81,15 @@
     Parameters
     ----------
     fleet_load : FleetLoad
-    registry : Registry
     round_trips : RoundTrips
     """
 
-    def __init__(
-        self, fleet_load: FleetLoad, registry: Registry, round_trips: RoundTrips
-    ):
+    def __init__(self, fleet_load: FleetLoad, round_trips: RoundTrips):
         self.fleet_load = fleet_load
         self.run_times = RunTimes(round_trips)
         self.expected_times = ExpectedTimes(fleet_load, self.run_times, round_trips)
         self.owners = OwnerCounts(fleet_load, self.run_times)
-        self.shedding = Shedding(
-            fleet_load, self.expected_times, self.run_times, registry
-        )
+        self.shedding = Shedding(fleet_load, self.expected_times, self.run_times)
         self.returning = Returning()
         self.random = random.Random()
 
--- a/packages/gateway/plantainshed_gateway/selection/shedding.py
+++ b/packages/gateway/plantainshed_gateway/selection/shedding.py
@@ -26,7 +26,7 @@
 
 from .expected_time import ExpectedTimes
 from .load_reports import FleetLoad, Rate
-from .registry import Registry, TargetState
+from .registry import TargetState
 from .run_times import RunTimes
 
 # Part of the time that a run leaves of the objective in which requests may wait while a
@@ -101,7 +101,6 @@
     fleet_load : FleetLoad
     expected_times : ExpectedTimes
     run_times : RunTimes
-    registry : Registry
     """
 
     def __init__(
@@ -109,12 +108,10 @@
         fleet_load: FleetLoad,
         expected_times: ExpectedTimes,
         run_times: RunTimes,
-        registry: Registry,
     ):
         self.fleet_load = fleet_load
         self.expected_times = expected_times
         self.run_times = run_times
-        self.registry = registry
         self.random = random.Random()
         self._rooms: dict[tuple, PoolRoom] = {}
         self._by_workspace: dict[tuple[str, int], dict[str | None, Rate]] = {}
--- a/packages/measure/plantainshed_measure/placing_model.py
+++ b/packages/measure/plantainshed_measure/placing_model.py
@@ -248,7 +248,7 @@
         )
         self.placement = Placement(
             *placement_parts,
-            LoadAwareChoice(self.load, self.registry, self.round_trips),
+            LoadAwareChoice(self.load, self.round_trips),
         )
         self.placement_by_answers = Placement(*placement_parts)
 
--- a/tests/gateway/selection/test_choice.py
+++ b/tests/gateway/selection/test_choice.py
@@ -61,7 +61,7 @@
     registry.update_entries(entries, may_have_expired=False)
     round_trips = make_round_trips()
     round_trips.record("mil-a", 0.002)
-    choice = LoadAwareChoice(FleetLoad(LoadTracker()), registry, round_trips)
+    choice = LoadAwareChoice(FleetLoad(LoadTracker()), round_trips)
     placement = make_placement(registry, round_trips=round_trips)
     placement.load_choice = choice
     choice.random.seed(1)
