--- a/packages/gateway/plantainshed_gateway/selection/choice.py
+++ b/packages/gateway/plantainshed_gateway/selection/choice.py
@@ -24,6 +24,7 @@
 )
 from .load_reports import FleetLoad
 from .owners import RESERVE, OwnerCounts
+from .queueing import MAX_WAIT_RATIO
 from .registry import TargetState
 from .returning import Returning
 from .round_trips import RoundTrips
@@ -47,8 +48,6 @@
 # Number of targets that do not own an object whose loads are compared. Comparing two
 # keeps VMs with the same reports from choosing the same target.
 OTHERS_COMPARED = 2
-# Longest accepted wait as a ratio of the objective, while the pool has room.
-MAX_WAIT_RATIO = 1.0
 # Wait that is accepted although the pool is short, in run times. Without it, first runs
 # and requests that come back would never be admitted, as they are late anyway.
 MIN_ACCEPTED_WAIT_RUNS = 0.5
