Log targets that are kept although their entry is missing

A VM kept a removed target for a grace period, and neither the beginning nor the end of that period had a log line: three hypotheses about a late request could not be told apart. 'missing targets kept' names the targets, for how long and why; 'missing targets dropped' names those whose grace period ended.

--- a/packages/gateway/plantainshed_gateway/selection/registry.py
+++ b/packages/gateway/plantainshed_gateway/selection/registry.py
@@ -1,5 +1,6 @@
 """Registry of targets and this VM's view of their health and load."""
 
+from collections.abc import Callable
 from math import inf
 
 import trio
@@ -253,6 +254,8 @@
         Region of each failure domain.
     evacuated : set of str
         Failure domains whose targets receive no requests.
+    on_dropped : callable
+        Called with the names of targets whose grace period has ended.
     """
 
     def __init__(self, region_of: dict[str, str]):
@@ -269,6 +272,7 @@
         # When the shares of objects of all targets have reached their full size.
         self.ramps_until = float("-inf")
         self._next_grace_end = inf
+        self.on_dropped: Callable[[list[str]], None] = lambda names: None
 
     def update_entries(
         self,
@@ -372,6 +376,12 @@
             del self.states[instance]
         if gone:
             self._rebuild_pools()
+            self.on_dropped(gone)
+
+    def grace_left_s(self, names: set[str]) -> float:
+        """Return the longest remaining grace period of targets, in seconds."""
+        ends = [self.states[name].grace_ends_at for name in names]
+        return max(ends) - trio.current_time()
 
     def update_configuration(self, configuration: Configuration):
         """Use the pools of a new configuration."""
--- a/packages/gateway/plantainshed_gateway/state_applier.py
+++ b/packages/gateway/plantainshed_gateway/state_applier.py
@@ -23,6 +23,8 @@
 # How long after a store outage expired entries of live targets may still be
 # missing; targets write them again within two seconds.
 REREGISTRATION_S = 2.2
+# Log lines show longer times since the store was regained as this one.
+MAX_LOGGED_S = 999.0
 
 
 @frozen
@@ -65,6 +67,7 @@
         self.log = log
         self._paused_at = float("-inf")
         self._decoded_items: dict[Collection, dict[str, _DecodedItem]] = {}
+        registry.on_dropped = self._log_dropped
 
     def note_pause(self):
         """Record that this process was paused until now.
@@ -164,6 +167,7 @@
         follower = self.followers[Collection.TARGETS]
         entries = self._decoded(Collection.TARGETS, self.decoder.target)
         before = {name: s.entry for name, s in self.registry.states.items()}
+        expired_before = self._expired_targets()
         has_lost_store = not follower.is_connected and not follower.is_watch_delegated
         if not has_lost_store or self._was_paused():
             self.registry.update_entries(entries, self._has_just_reconnected(follower))
@@ -174,6 +178,31 @@
                 entries, True, notification_delay_s=PEER_GRACE_S
             )
         self._log_targets(before, follower.replica.revision)
+        self._log_expired(self._expired_targets() - expired_before, follower)
+
+    def _expired_targets(self) -> set[str]:
+        states = self.registry.states
+        return {name for name, s in states.items() if s.expired_at is not None}
+
+    def _log_expired(self, names: set[str], follower: Follower):
+        if not names:
+            return
+        since_reconnect_s = trio.current_time() - follower.reconnected_at
+        self.log.event(
+            "missing targets kept",
+            targets=sorted(names),
+            revision=follower.replica.revision,
+            is_store_connected=follower.is_connected,
+            store_regained_s_ago=round(min(since_reconnect_s, MAX_LOGGED_S), 3),
+            seconds=round(self.registry.grace_left_s(names), 3),
+        )
+
+    def _log_dropped(self, names: list[str]):
+        self.log.event(
+            "missing targets dropped",
+            targets=names,
+            known=len(self.registry.states),
+        )
 
     def _has_just_reconnected(self, follower: Follower) -> bool:
         since_reconnect_s = trio.current_time() - follower.reconnected_at
