Round reported ages of the store's answers up

Reports are passed on between VMs. Rounded to the nearest 0.1 s, an age shrank by up to 0.05 s each time, so that answers seemed to go on during an outage.

--- a/packages/gateway/plantainshed_gateway/store_contact.py
+++ b/packages/gateway/plantainshed_gateway/store_contact.py
@@ -8,6 +8,7 @@
 without a gap. An outage is a gap that the reports of no VM fill.
 """
 
+import math
 from collections.abc import Callable
 from math import inf
 
@@ -30,7 +31,7 @@
     Parameters
     ----------
     answered_s_ago : float
-        Time since the store last answered a VM, in steps of 0.1 s.
+        Time since the store last answered a VM, rounded up to 0.1 s.
     available_s : int
         How long it has answered without an outage, as far as the VM has observed.
     """
@@ -40,9 +41,12 @@
 
     def aged(self, seconds: float) -> "ContactReport":
         """Return the report as it is after the given time."""
-        return ContactReport(
-            round(self.answered_s_ago + seconds, 1), int(self.available_s + seconds)
-        )
+        return _make_report(self.answered_s_ago + seconds, self.available_s + seconds)
+
+
+def _make_report(answered_s_ago: float, available_s: float) -> ContactReport:
+    # Rounded up and down: VMs pass reports on, and must not claim more each time.
+    return ContactReport(math.ceil(answered_s_ago * 10) / 10, math.floor(available_s))
 
 
 class StoreContact:
@@ -96,9 +100,8 @@
             return None
         now = trio.current_time()
         available_since = max(self._first_answer_at, self.outage_ended_at)
-        return ContactReport(
-            round(now - self.answered_at, 1),
-            int(min(MAX_REPORTED_S, now - available_since)),
+        return _make_report(
+            now - self.answered_at, min(MAX_REPORTED_S, now - available_since)
         )
 
     def note_answer(self):
