Describe how old a VM's knowledge may be; measure the age of copies by what is known

plantainshed_copy_age_seconds was the time since the last answer about a collection, which grew between changes on VMs that do not poll. It is now the time since which a copy may lack changes, confirmed by heartbeats. Replica.confirmed_at and Follower.reconnected_at had no other reader; the test of an outage's end checks what decides now, with the same bound.

--- a/packages/gateway/plantainshed_gateway/gateway.py
+++ b/packages/gateway/plantainshed_gateway/gateway.py
@@ -1,5 +1,7 @@
 """Assembles the components of one gateway VM, without its listening sockets."""
 
+from math import inf
+
 import trio
 from attrs import evolve
 
@@ -377,8 +379,8 @@
         for collection, replica in self.replicas.items():
             labels = {"collection": collection.value}
             metrics.copy_revision.set(labels, replica.revision)
-            if replica.is_initialized:
-                metrics.copy_age.set(labels, trio.current_time() - replica.confirmed_at)
+            if replica.current_at > -inf:
+                metrics.copy_age.set(labels, trio.current_time() - replica.current_at)
         configuration = self.admission.configuration
         if configuration is not None:
             metrics.configuration_problems.set({}, len(configuration.problems))
--- a/packages/gateway/plantainshed_gateway/metrics.py
+++ b/packages/gateway/plantainshed_gateway/metrics.py
@@ -30,7 +30,7 @@
         )
         self.copy_age = self._gauge(
             "copy_age_seconds",
-            "Time since the store, or a peer, last confirmed a collection's copy.",
+            "Time since which a collection's copy may lack changes of the store.",
         )
         self.copy_revision = self._gauge(
             "copy_revision",
--- a/packages/gateway/plantainshed_gateway/replication.py
+++ b/packages/gateway/plantainshed_gateway/replication.py
@@ -67,8 +67,6 @@
         Store revision up to which the copy is complete; 0 before the first list.
     changed_at_revision : int
         Revision of the newest known change.
-    confirmed_at : float
-        When the store or a peer last confirmed the copy.
     current_at : float
         Time up to which the copy contains all changes of the store.
     is_confirmed : bool
@@ -81,7 +79,6 @@
     items: dict[str, Item] = field(factory=dict)
     revision: int = 0
     changed_at_revision: int = 0
-    confirmed_at: float = float("-inf")
     current_at: float = float("-inf")
     is_confirmed: bool = True
     recent: deque[tuple[int, Changes]] = field(
@@ -111,7 +108,6 @@
         self.items = items
         self.revision = snapshot.revision
         self.recent.clear()
-        self.confirmed_at = trio.current_time()
         return changed
 
     def apply_changes(self, changes: Changes) -> bool:
@@ -119,7 +115,6 @@
         if changes.revision < self.revision:
             # Outdated in transit: applying it could restore a deleted object.
             return False
-        self.confirmed_at = trio.current_time()
         if changes.revision == self.revision:
             return False
         changed = False
@@ -142,7 +137,6 @@
     def mark_complete(self, revision: int, at: float):
         """Record that the collection had no changes after a revision at a time."""
         self.revision = max(self.revision, revision)
-        self.confirmed_at = trio.current_time()
         self.note_current(at)
 
     def note_current(self, at: float):
@@ -201,7 +195,6 @@
         self.replica = Replica(collection)
         self.is_connected = False
         self.disconnected_at: float | None = None
-        self.reconnected_at = float("-inf")
         self._retry_delay_s = INITIAL_RETRY_DELAY_S
         self._needs_list = True
         self.is_watch_delegated = False
@@ -318,8 +311,6 @@
         if self.is_connected:
             return
         self.is_connected = True
-        if self.disconnected_at is not None:
-            self.reconnected_at = trio.current_time()
         self.log.event(
             "store regained",
             collection=self.collection,
--- a/tests/gateway/test_freshness_poller.py
+++ b/tests/gateway/test_freshness_poller.py
@@ -9,6 +9,7 @@
 from plantainshed_gateway.ports import Change, Changes, Collection, Item, Snapshot
 from plantainshed_gateway.replication import MAX_RETRY_DELAY_S, Follower
 from plantainshed_gateway.speakers import Speakers
+from plantainshed_gateway.store_contact import StoreContact
 from tests.gateway.gateway_support import RecordingLog, make_heartbeat, make_members
 from tests.support import on_mock_clock
 
@@ -121,8 +122,11 @@
     def __init__(self, store: RevisionedStore):
         self.store = store
         self.log = RecordingLog()
+        self.contact = StoreContact()
         self.followers = {
-            collection: Follower(store, collection, lambda c: None, self.log)
+            collection: Follower(
+                store, collection, lambda c: None, self.log, contact=self.contact
+            )
             for collection in FOLLOWED
         }
         self.is_poller = True
@@ -191,13 +195,13 @@
     async def test_change_that_ends_an_outage_counts_as_after_reconnection(self):
         """Entries of live targets expire during a store outage.
 
-        The follower must be marked as reconnected before it reports the change, or
+        The end of the outage must be noted before the follower reports the change, or
         these targets are dropped without a grace period.
         """
         async with running_vm() as vm:
             follower, ages_s = vm.followers[Collection.TARGETS], []
             follower.listener = lambda collection: ages_s.append(
-                trio.current_time() - follower.reconnected_at
+                vm.contact.outage_over_for_s
             )
             vm.store.put(Collection.CONFIGURATION, "last before")
             for collection in FOLLOWED:
