Let VMs that watch the store fail just before a change, in the soak

Two VMs of a failure domain are killed, paused, rejected by the store or cut off from it in one direction; 0 to 0.7 s later a target leaves with or without a notice, a key is withdrawn or a route changes.

--- a/tests/platform/soak/__main__.py
+++ b/tests/platform/soak/__main__.py
@@ -24,6 +24,7 @@
     draw_demands,
     draw_faults,
     draw_registrations,
+    draw_watchers,
 )
 from .processes import running_vms
 from .promises import Findings, InvariantChecker
@@ -114,6 +115,7 @@
         *draw_registrations(settings),
         *draw_cuts(settings),
         *draw_demands(settings),
+        *draw_watchers(settings),
     ]
     plan = sorted(faults, key=lambda fault: fault.start_s)
     sequences = draw_signals(settings)
--- a/tests/platform/soak/faults.py
+++ b/tests/platform/soak/faults.py
@@ -10,6 +10,14 @@
 from .processes import Vm
 from .proxy import black_hole
 from .settings import STABLE_S, SoakSettings
+from .watchers import (
+    CHANGES,
+    MAX_FAILED_BEFORE_S,
+    WATCHER_FAILURES,
+    draw_watcher_failures,
+    fail_for_a_while,
+    pick_watchers,
+)
 from .world import LARGE_WORKSPACE, SMALL_WORKSPACE, Target, World
 
 # Scope of a disturbance that affects every VM and target.
@@ -120,6 +128,12 @@
     return [Fault("vm_registers_unanswered", at, 3.0, rng.getrandbits(16))]
 
 
+def draw_watchers(settings: SoakSettings) -> list[Fault]:
+    """Draw failures of VMs that may watch the store for others."""
+    draws = draw_watcher_failures(settings)
+    return [Fault("watchers_fail", start_s, 3.0, bits) for start_s, bits in draws]
+
+
 # How open and new connections of VMs that lose their links to the targets behave: open
 # ones carry nothing, are reset, or live on; new ones get no answer or are refused.
 CUT_FORMS = (
@@ -322,6 +336,17 @@
         await trio.sleep(4.0)
         await self._take_target_down(target, fault)
 
+    async def target_removed(self, fault: Fault):
+        """Delete a target's entry without draining it, and take it down later."""
+        target = self._pick_target(fault)
+        entries = self.world.store.objects["servers"]
+        if target.draining_since is not None or target.instance not in entries:
+            return
+        self.world.store.delete("servers", target.instance)
+        target.draining_since = trio.current_time()
+        await trio.sleep(4.0)
+        await self._take_target_down(target, fault)
+
     async def target_crashes(self, fault: Fault):
         """Take a target down at once; its entry is deleted later."""
         target = self._pick_target(fault)
@@ -419,6 +444,22 @@
             vm.kill()
         self._end_disturbances(await self._disturb(fault, *(vm.name for vm in killed)))
 
+    async def watchers_fail(self, fault: Fault):
+        """Let two VMs of a failure domain fail just before a change."""
+        bits, failure = divmod(fault.random_bits, len(WATCHER_FAILURES))
+        change = CHANGES[bits % len(CHANGES)]
+        vms = pick_watchers(self.vms, bits)
+        disturbed = [
+            Disturbance(WATCHER_FAILURES[failure], vm.name, trio.current_time())
+            for vm in vms
+        ]
+        self.disturbances += disturbed
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(fail_for_a_while, vms, WATCHER_FAILURES[failure])
+            await trio.sleep(random.Random(bits).uniform(0.0, MAX_FAILED_BEFORE_S))
+            nursery.start_soon(getattr(self, change), fault)
+        self._end_disturbances(disturbed)
+
     async def vm_stop(self, fault: Fault):
         """Stop a gateway process gracefully; it is then restarted."""
         vm = self._pick_vm(fault)
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -35,6 +35,7 @@
     draw_cuts,
     draw_faults,
     draw_registrations,
+    draw_watchers,
 )
 from tests.platform.soak.processes import Vm
 from tests.platform.soak.promises import CUT_KIND, InvariantChecker
@@ -47,6 +48,7 @@
     run_signals,
 )
 from tests.platform.soak.waits import CpuWait, SchedstatSample
+from tests.platform.soak.watchers import CHANGES, WATCHER_FAILURES
 from tests.platform.soak.world import LARGE_WORKSPACE, SMALL_WORKSPACE, Run, World
 from tests.support import on_mock_clock, on_real_clock
 
@@ -152,6 +154,13 @@
         self.assertEqual(draw_cuts(SETTINGS), draw_cuts(SETTINGS))
         self.assertGreater(min(cut.duration_s for cut in cuts), STABLE_S)
 
+    def test_each_failure_of_watchers_is_drawn_with_each_change(self):
+        faults = [f for n in range(200) for f in draw_watchers(SoakSettings(n, 8.0))]
+        self.assertTrue(all(callable(getattr(FaultInjector, f.kind)) for f in faults))
+        self.assertTrue(all(callable(getattr(FaultInjector, c)) for c in CHANGES))
+        kinds = len(WATCHER_FAILURES) * len(CHANGES)
+        self.assertEqual({f.random_bits % kinds for f in faults}, set(range(kinds)))
+
 
 class TestDrawSignals(unittest.TestCase):
     def test_same_seed_draws_the_same_few_sequences(self):
