--- a/tests/gateway/following_fleet.py
+++ b/tests/gateway/following_fleet.py
@@ -122,6 +122,7 @@
     def make_own_heartbeat(self, usage, **more):
         if not self.followers:
             return super().make_own_heartbeat(usage, **more)
+        more["copy_age_s"] = self.poller.copy_age_s()
         return super().make_own_heartbeat(
             usage,
             newest_revisions={
@@ -129,7 +130,6 @@
                 for name, follower in self.followers.items()
             },
             is_store_reachable=all(f.is_connected for f in self.followers.values()),
-            copy_age_s=self.poller.copy_age_s(),
             **more,
         )
 
--- a/tests/gateway/linked_fleet.py
+++ b/tests/gateway/linked_fleet.py
@@ -97,6 +97,7 @@
             needs_load=self.load_sharing.needs_reports,
             load=self.load_sharing.make_report(),
             contact=self.contact.report(),
+            copy_age_s=1.23,
         )
 
     def make_own_heartbeat(self, usage, **more):
