--- a/review/standins/client.py
+++ b/review/standins/client.py
@@ -16,13 +16,15 @@
 class Directory:
     """What a client knows of the machines that take requests."""
 
-    def __init__(self, machines, host, region, zone):
+    def __init__(self, machines, host, region, zone, keeps=1):
         self.machines = machines
         self.host = host
         self.region = region
         self.zone = zone
         self.addresses = []
         self.until = 0.0
+        # Some clients keep an answer three times as long as it says.
+        self.keeps = keeps
 
     async def resolve(self):
         """Return the current addresses; they are kept for their time to live."""
@@ -43,7 +45,7 @@
                 ttl_s = float(found["ttl"].rstrip("ms"))
                 if found["ttl"].endswith("ms"):
                     ttl_s /= 1000
-                self.until = time.monotonic() + min(TTL_MAX_S, ttl_s)
+                self.until = time.monotonic() + self.keeps * min(TTL_MAX_S, ttl_s)
                 return self.addresses
         return self.addresses
 
@@ -62,6 +64,17 @@
         writer.close()
 
 
+class Attempt:
+    """One client attempt."""
+
+    def __init__(self, address, sent_at):
+        self.address = address
+        self.sent_at = sent_at
+        self.ended_at = None
+        self.status = None
+        self.is_broken_off = False
+
+
 class Client:
     """Sends requests and repeats them as the pages allow."""
 
@@ -70,6 +83,8 @@
         self.key = key
         self.record = record
         self.answers = []
+        # What became of each attempt, by its id.
+        self.attempts = {}
 
     async def request(self, start, is_idempotent, deadline_ms, body=b""):
         """Send a request and one repeat at most; return the last status or None."""
@@ -91,6 +106,12 @@
         self.answers.append(status)
         return status
 
+    async def request_once(self, start, deadline_ms, body=b""):
+        """Send a request to one machine without a repeat; return the status."""
+        address = random.choice(await self.directory.resolve())
+        status, _ = await self._attempt(address, start, deadline_ms / 1000, body)
+        return status
+
     async def _attempt(self, address, start, left_s, body):
         request_id = uuid.uuid4().hex[:16]
         headers = [
@@ -100,13 +121,19 @@
             ("Authorization", f"Bearer {self.key}"),
         ]
         self.record("sent", id=request_id, request=start, to=address)
+        attempt = self.attempts[request_id] = Attempt(address, time.monotonic())
         try:
             answer = await asyncio.wait_for(ask(address, start, headers, body), left_s)
         except (OSError, TimeoutError) as error:
-            self.record("not answered", id=request_id, problem=type(error).__name__)
+            problem = type(error).__name__
+            self.record("not answered", id=request_id, problem=problem)
             return None, 0.0
+        finally:
+            attempt.ended_at = time.monotonic()
         if answer is None:
             self.record("closed", id=request_id)
+            attempt.is_broken_off = True
             return None, 0.0
+        attempt.status = answer.status
         self.record("answered", id=request_id, status=answer.status)
         return answer.status, float(answer.headers.get("retry-after", 0))
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -54,13 +54,15 @@
 class Deployment:
     """All parts of the deployment, and a record of what happens."""
 
-    def __init__(self, folder, work, servers_per_zone=2):
+    def __init__(self, folder, work, servers_per_zone=2, bounds=None, slots=4):
         self.record = Record(folder / "record.txt")
         net = f"127.{20 + os.getpid() % 200}.{os.getpid() // 200 % 200}"
         self.store = Store(f"{net}.1")
         self.net = net
         self.work = work
         self.servers_per_zone = servers_per_zone
+        self.bounds = bounds
+        self.slots = slots
         self.servers = []
         self.machines = []
         self.clients = []
@@ -81,6 +83,7 @@
                     f"{self.net}.{50 + number}",
                     self.store,
                     self.record,
+                    self.slots,
                 )
                 await server.start()
                 self.servers.append(server)
@@ -99,22 +102,27 @@
                 self.work,
                 self.record,
                 seeds,
+                self.bounds,
             )
             machine.start()
             self.machines.append(machine)
             self.tasks.append(asyncio.create_task(machine.keep_running()))
 
-    def start_clients(self, per_s, write_share=0.3, deadline_ms=4000):
-        """Send requests from all zones at a steady rate."""
+    def start_clients(self, per_s, write_share=0.3, deadline_ms=4000, keeps=(1,)):
+        """Send requests from all zones at a steady rate.
+
+        `keeps` names, for each client of a zone, how many times as long as they say it
+        keeps the answers of the directory.
+        """
+        rate = per_s / len(ZONES) / len(keeps)
         for zone, region in ZONES.items():
             near = sorted(self.machines, key=lambda m: m.fields["region"] != region)
-            client = Client(Directory(near, HOST, region, zone), KEY, self.record)
-            self.clients.append(client)
-            self.tasks.append(
-                asyncio.create_task(
-                    self._load(client, per_s / len(ZONES), write_share, deadline_ms)
-                )
-            )
+            for times in keeps:
+                directory = Directory(near, HOST, region, zone, times)
+                client = Client(directory, KEY, self.record)
+                self.clients.append(client)
+                load = self._load(client, rate, write_share, deadline_ms)
+                self.tasks.append(asyncio.create_task(load))
 
     async def _load(self, client, per_s, write_share, deadline_ms):
         while True:
@@ -133,6 +141,8 @@
         """End all processes and tasks."""
         for machine in self.machines:
             machine.stop()
+        for server in self.servers:
+            server.end()
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
--- a/review/standins/machines.py
+++ b/review/standins/machines.py
@@ -56,7 +56,9 @@
 class Machine:
     """One machine with a process of the deploy file's role."""
 
-    def __init__(self, name, ip, zone, zones, store, folder, record, seeds):
+    def __init__(
+        self, name, ip, zone, zones, store, folder, record, seeds, bounds=None
+    ):
         self.name = name
         self.ip = ip
         self.record = record
@@ -66,6 +68,7 @@
         self.process = None
         self.is_wanted = False
         self.ends_by_itself = 0
+        self.is_stopping = False
         self.settings = folder / f"{name}.ini"
         self.log = folder / f"{name}.log"
         self.fields = {
@@ -83,7 +86,7 @@
                 "directory": self.directory,
             },
             "limits": LIMITS,
-            "bounds": BOUNDS,
+            "bounds": BOUNDS | (bounds or {}),
             "platform": {"addr": store},
         }
 
@@ -110,9 +113,13 @@
                 continue
             if not self.is_wanted:
                 continue
-            self.ends_by_itself += 1
             code = self.process.returncode
-            self.record("ended by itself", machine=self.name, status=code)
+            if self.is_stopping:
+                self.record("ended", machine=self.name, status=code)
+            else:
+                self.ends_by_itself += 1
+                self.record("ended by itself", machine=self.name, status=code)
+            self.is_stopping = False
             await asyncio.sleep(RESTART_PAUSE_S)
             if self.is_wanted:
                 self.start()
@@ -122,6 +129,16 @@
         self.record("signal", machine=self.name, number=int(number))
         self.process.send_signal(number)
 
+    async def terminate(self, grace_s):
+        """Stop the process as the platform does; it is started again."""
+        self.is_stopping = True
+        process = self.process
+        self.signal(signal.SIGTERM)
+        await asyncio.sleep(grace_s)
+        if process.poll() is None:
+            self.record("killed after grace", machine=self.name)
+            process.kill()
+
     def stop(self):
         """End the process for good."""
         self.is_wanted = False
@@ -149,6 +166,8 @@
 
     def __call__(self, event, **fields):
         """Write one line."""
+        if self.file.closed:
+            return
         text = " ".join(f"{key}={value}" for key, value in fields.items())
         at = time.monotonic() - self.began_at
         self.file.write(f"{at:8.3f} {event} {text}\n")
--- a/review/standins/server.py
+++ b/review/standins/server.py
@@ -22,6 +22,10 @@
         self.work_s = work_s
         self.state = "ready"
         self.running = 0
+        # It queues a few more requests than it runs.
+        self.waiting = 0
+        self.queue = 0
+        self.has_room = asyncio.Condition()
         self.seq = 0
         self.is_registered = True
         self.born = time.time_ns() // 1_000_000
@@ -29,6 +33,8 @@
         self.body = b"the server's bytes"
         self.connections = set()
         self.tasks = []
+        # Called with a request's path and id before it runs.
+        self.on_run = None
 
     async def start(self):
         """Listen, and write the entry."""
@@ -57,11 +63,11 @@
         return self.write_entry()
 
     def end(self):
-        """End as a process does: the listener and all connections are closed."""
+        """End as a process that crashes: its connections are reset."""
         self.is_registered = False
         self.listener.close()
         for writer in list(self.connections):
-            writer.close()
+            writer.transport.abort()
         for task in self.tasks:
             task.cancel()
 
@@ -85,18 +91,30 @@
             headers.append(("Request-Id", request_id))
         if request.headers.get("expect-instance", self.name) != self.name:
             return encode("HTTP/1.1 421 -", headers)
-        load = f"{self.running},0,{self.slots}"
+        load = f"{self.running},{self.waiting},{self.slots}"
         if path == "/health":
             status = 200 if self.state == "ready" else 503
             return encode(f"HTTP/1.1 {status} -", [*headers, ("Server-Load", load)])
-        if self.running >= self.slots:
+        if self.running >= self.slots and self.waiting >= self.queue:
             return encode("HTTP/1.1 503 -", [*headers, ("Not-Executed", "1")])
-        self.arrivals.append((time.monotonic(), request_id))
-        self.record("run", server=self.name, id=request_id, request=f"{method} {path}")
-        self.running += 1
+        self.waiting += 1
+        async with self.has_room:
+            await self.has_room.wait_for(lambda: self.running < self.slots)
+            self.waiting -= 1
+            self.running += 1
         try:
-            await asyncio.sleep(self.work_s)
+            return await self._run(method, path, request_id, headers)
         finally:
             self.running -= 1
+            async with self.has_room:
+                self.has_room.notify()
+
+    async def _run(self, method, path, request_id, headers):
+        self.arrivals.append((time.monotonic(), request_id))
+        self.record("run", server=self.name, id=request_id, request=f"{method} {path}")
+        if self.on_run is not None:
+            self.on_run(self, path, request_id)
+        await asyncio.sleep(self.work_s)
+        load = f"{self.running},{self.waiting},{self.slots}"
         headers += [("Server-Load", load), ("Server-Seal", f"seal.{request_id}")]
         return encode("HTTP/1.1 200 OK", headers, self.body)
