--- a/review/standins/client.py
+++ b/review/standins/client.py
@@ -25,6 +25,8 @@
         self.until = 0.0
         # Some clients keep an answer three times as long as it says.
         self.keeps = keeps
+        # The first answer is an older one, so that clients do not ask in step.
+        self.part = random.random()
 
     async def resolve(self):
         """Return the current addresses; they are kept for their time to live."""
@@ -45,7 +47,8 @@
                 ttl_s = float(found["ttl"].rstrip("ms"))
                 if found["ttl"].endswith("ms"):
                     ttl_s /= 1000
-                self.until = time.monotonic() + self.keeps * min(TTL_MAX_S, ttl_s)
+                lasts_s = self.part * self.keeps * min(TTL_MAX_S, ttl_s)
+                self.until, self.part = time.monotonic() + lasts_s, 1.0
                 return self.addresses
         return self.addresses
 
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -22,6 +22,7 @@
 SERVICE = "huvo11a"
 READ = "/lepu270/"
 WRITE = "/xapu221/"
+MAX_SEEDS = 3
 IS_TROUBLED = os.environ.get("TROUBLE", "1") != "0"
 
 
@@ -54,7 +55,9 @@
 class Deployment:
     """All parts of the deployment, and a record of what happens."""
 
-    def __init__(self, folder, work, servers_per_zone=2, bounds=None, slots=4):
+    def __init__(
+        self, folder, work, servers_per_zone=2, bounds=None, slots=4, machines=(1, 1, 1)
+    ):
         self.record = Record(folder / "record.txt")
         net = f"127.{20 + os.getpid() % 200}.{os.getpid() // 200 % 200}"
         self.store = Store(f"{net}.1")
@@ -63,6 +66,7 @@
         self.servers_per_zone = servers_per_zone
         self.bounds = bounds
         self.slots = slots
+        self.machines_per_zone = machines
         self.servers = []
         self.machines = []
         self.clients = []
@@ -89,12 +93,17 @@
                 self.servers.append(server)
 
     def start_machines(self):
-        """Start one machine in each zone."""
-        ips = [f"{self.net}.{10 + n}" for n in range(len(ZONES))]
-        seeds = [f"{ip}:8383" for ip in ips]
-        for zone, ip in zip(ZONES, ips, strict=True):
+        """Start the machines of all zones."""
+        places = [
+            (zone, number + 1)
+            for zone, count in zip(ZONES, self.machines_per_zone, strict=True)
+            for number in range(count)
+        ]
+        ips = [f"{self.net}.{10 + n}" for n in range(len(places))]
+        seeds = [f"{ip}:8383" for ip in ips[:MAX_SEEDS]]
+        for (zone, number), ip in zip(places, ips, strict=True):
             machine = Machine(
-                f"edge-{zone}-1",
+                f"edge-{zone}-{number}",
                 ip,
                 zone,
                 ZONES,
@@ -108,14 +117,17 @@
             self.machines.append(machine)
             self.tasks.append(asyncio.create_task(machine.keep_running()))
 
-    def start_clients(self, per_s, write_share=0.3, deadline_ms=4000, keeps=(1,)):
-        """Send requests from all zones at a steady rate.
+    def start_clients(
+        self, per_s, write_share=0.3, deadline_ms=4000, keeps=(1,), zones=ZONES
+    ):
+        """Send requests from some zones at a steady rate.
 
         `keeps` names, for each client of a zone, how many times as long as they say it
         keeps the answers of the directory.
         """
-        rate = per_s / len(ZONES) / len(keeps)
-        for zone, region in ZONES.items():
+        rate = per_s / len(zones) / len(keeps)
+        for zone in zones:
+            region = ZONES[zone]
             near = sorted(self.machines, key=lambda m: m.fields["region"] != region)
             for times in keeps:
                 directory = Directory(near, HOST, region, zone, times)
