--- a/review/build.sh
+++ b/review/build.sh
@@ -1,5 +1,8 @@
 #!/usr/bin/env bash
-# Byte-compiles the stand-ins. They need Python's standard library only.
+# Copies the stand-ins to target/review and byte-compiles them there. They need Python's
+# standard library only.
 set -euo pipefail
 cd "$(dirname "$0")"
-python3 -m compileall -q standins
+mkdir -p ../target/review
+cp ./*.py ../target/review/
+python3 -m compileall -q ../target/review
