--- a/review/client.py
+++ b/review/client.py
@@ -70,8 +70,9 @@
 class Attempt:
     """One client attempt."""
 
-    def __init__(self, address, sent_at):
+    def __init__(self, address, sent_at, start=""):
         self.address = address
+        self.start = start
         self.sent_at = sent_at
         self.ended_at = None
         self.status = None
@@ -124,7 +125,7 @@
             ("Authorization", f"Bearer {self.key}"),
         ]
         self.record("sent", id=request_id, request=start, to=address)
-        attempt = self.attempts[request_id] = Attempt(address, time.monotonic())
+        attempt = self.attempts[request_id] = Attempt(address, time.monotonic(), start)
         try:
             answer = await asyncio.wait_for(ask(address, start, headers, body), left_s)
         except (OSError, TimeoutError) as error:
--- a/review/deployment.py
+++ b/review/deployment.py
@@ -56,7 +56,15 @@
     """All parts of the deployment, and a record of what happens."""
 
     def __init__(
-        self, folder, work, servers_per_zone=2, bounds=None, slots=4, machines=(1, 1, 1)
+        self,
+        folder,
+        work,
+        servers_per_zone=2,
+        bounds=None,
+        slots=4,
+        machines=(1, 1, 1),
+        make_server=Server,
+        first_configuration=None,
     ):
         self.record = Record(folder / "record.txt")
         net = f"127.{20 + os.getpid() % 200}.{os.getpid() // 200 % 200}"
@@ -67,6 +75,8 @@
         self.bounds = bounds
         self.slots = slots
         self.machines_per_zone = machines
+        self.make_server = make_server
+        self.first_configuration = first_configuration or configuration()
         self.servers = []
         self.machines = []
         self.clients = []
@@ -75,12 +85,12 @@
     async def start_platform(self):
         """Start the store and the servers, and write the first configuration."""
         await self.store.start()
-        self.store.put("config", "main", configuration())
+        self.store.put("config", "main", self.first_configuration)
         number = 0
         for zone in ZONES:
             for _ in range(self.servers_per_zone):
                 number += 1
-                server = Server(
+                server = self.make_server(
                     f"i-7f3a91c{number}",
                     SERVICE,
                     zone,
