--- a/review/faulty_server.py
+++ b/review/faulty_server.py
@@ -44,13 +44,14 @@
         try:
             while (request := await read_message(reader)) is not None:
                 if late is not None:
-                    writer.write(late)
+                    kind, extra = late
+                    writer.write(extra)
                     await writer.drain()
                     self.record(
                         "extra response",
                         server=self.name,
                         of=kind,
-                        status=late.split(b" ", 2)[1].decode(),
+                        status=extra.split(b" ", 2)[1].decode(),
                         before=request.headers.get("request-id"),
                     )
                     late = None
@@ -60,9 +61,9 @@
                     writer.transport.abort()
                     return
                 if random.random() < faults.extra_share:
-                    late = answer
                     is_health = request.first.split(" ")[1] == "/health"
                     kind = "health" if is_health else "request"
+                    late = kind, answer
                     self.extras[kind] += 1
                 writer.write(answer)
                 await writer.drain()
