Reset connections of HTTP/1.0 callers if a response breaks off

Reported by other operators: a server that stops within its answer's head, and callers that get a 200 with a short body, framed as complete (MIXED).

Cause here: not the head. Answers cut at each byte of the head never reach a caller as 2xx. But a long answer without a length is streamed, and to an HTTP/1.0 caller only the end of the connection delimits it. When the target broke off, or the time ran out, the caller's connection was closed as after a complete answer.

Change: SO_LINGER of 0 from the head of such a response until its end, so that any other end of the connection or process is a reset, which is the only sign that such a body is incomplete.

--- a/packages/http/plantainshed_http/server.py
+++ b/packages/http/plantainshed_http/server.py
@@ -42,6 +42,7 @@
 # Pause after the kernel refused to accept a connection, for example because this
 # process has no file descriptor left.
 ACCEPT_ERROR_PAUSE_S = 0.1
+STATUSES_WITHOUT_BODY = frozenset({204, 304})
 SOCKET_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError)
 
 
@@ -321,6 +322,7 @@
         self.watcher = watcher
         self.method = b""
         self.unsent = Outgoing()
+        self.resets_on_close = False
         self.h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
 
     async def run(self, report):
@@ -445,6 +447,17 @@
             headers = [*headers, (b"connection", b"close")]
         response = h11.Response(status_code=status, headers=headers)
         self.unsent.add(self.h11.send(response))
+        if self._ends_with_connection(response):
+            # If the response breaks off, only a reset shows that it is incomplete.
+            self.stream.reset_on_close(True)
+            self.resets_on_close = True
+
+    def _ends_with_connection(self, response: h11.Response) -> bool:
+        """Return whether only the end of the connection tells the body's length."""
+        if self.h11.their_http_version != b"1.0" or self.method == b"HEAD":
+            return False
+        is_framed = any(name == b"content-length" for name, _ in response.headers)
+        return not is_framed and response.status_code not in STATUSES_WITHOUT_BODY
 
     def buffer_body(self, chunk: bytes):
         self.unsent.add(self.h11.send(h11.Data(data=chunk)))
@@ -452,6 +465,9 @@
     async def send_event(self, event):
         self.unsent.add(self.h11.send(event))
         await self.flush()
+        if self.resets_on_close and isinstance(event, h11.EndOfMessage):
+            self.stream.reset_on_close(False)
+            self.resets_on_close = False
 
     async def flush(self):
         if self.unsent:
--- a/packages/http/plantainshed_http/tcp.py
+++ b/packages/http/plantainshed_http/tcp.py
@@ -11,6 +11,7 @@
 import math
 import os
 import socket
+import struct
 
 import trio
 
@@ -47,6 +48,17 @@
         """Set an option of the socket."""
         self.socket.setsockopt(level, option, value)
 
+    def reset_on_close(self, is_enabled: bool):
+        """Select whether the connection is reset when it is closed.
+
+        It is then also reset if the process ends.
+        """
+        linger = struct.pack("ii", is_enabled, 0)
+        try:
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        except OSError as error:
+            raise _stream_error(error) from error
+
     async def send_all(self, data: bytes):
         """Send all bytes, or raise `trio.BrokenResourceError`.
 
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -163,6 +163,62 @@
             self.assertEqual(order, sorted(order))
 
 
+class TestResponsesWithoutLength(unittest.TestCase):
+    """Responses to HTTP/1.0 callers that only the end of the connection delimits."""
+
+    REQUEST = b"GET / HTTP/1.0\r\nHost: x\r\n\r\n"
+
+    @staticmethod
+    async def start(exchange):
+        await exchange.start(200, [(b"transfer-encoding", b"chunked")])
+        await exchange.send(b"a part")
+
+    @on_real_clock
+    async def test_response_that_breaks_off_is_reset(self):
+        """Guards against a short body that looks complete to the caller (MIXED)."""
+
+        async def fail(exchange):
+            await self.start(exchange)
+            await trio.sleep(0.05)
+            raise trio.BrokenResourceError
+
+        async with serving(fail) as (address, _):
+            with self.assertRaises(trio.BrokenResourceError):
+                await raw_exchange(address, self.REQUEST)
+
+    @on_real_clock
+    async def test_response_is_reset_when_the_server_is_cancelled(self):
+        """Guards against the same at the end of the process."""
+
+        async def hang(exchange):
+            await self.start(exchange)
+            await trio.sleep_forever()
+
+        received = []
+
+        async def ask(address):
+            try:
+                received.append(await raw_exchange(address, self.REQUEST))
+            except trio.BrokenResourceError:
+                received.append("reset")
+
+        async with trio.open_nursery() as nursery:
+            async with serving(hang) as (address, _):
+                nursery.start_soon(ask, address)
+                await trio.sleep(0.1)
+        self.assertEqual(received, ["reset"])
+
+    @on_real_clock
+    async def test_complete_response_ends_with_the_connection(self):
+        async def respond(exchange):
+            await self.start(exchange)
+            await exchange.finish()
+
+        async with serving(respond) as (address, _):
+            answer = await raw_exchange(address, self.REQUEST)
+        self.assertTrue(answer.endswith(b"\r\n\r\na part"))
+
+
 class TestClientConnection(unittest.TestCase):
     @on_real_clock
     async def test_idle_connection_closed_by_the_server_is_stale(self):
