Do not trust answers without a request id

Cause: a full target sends its rejection of a health check once more when the next request comes on the connection. Connections of health checks were kept for requests, and a response without a request id counted as the answer, with its Not-Executed.

Change: connections on which a health check was sent are closed. A response without a request id to a request that has one is spoilt, with unknown outcome; 5xx responses without an id are no longer passed on either.

Both new tests failed before: the request ran at two targets, and the connection was idle in the pool.

--- a/packages/gateway/plantainshed_gateway/forwarding.py
+++ b/packages/gateway/plantainshed_gateway/forwarding.py
@@ -168,6 +168,12 @@
             raise AttemptFailed(
                 Reason.SPOILT_ANSWER, "received only answers to other requests", True
             )
+        if metadata.request_id is None and call.request.request_id:
+            # It may answer an earlier request, so nothing that it says holds for this
+            # one, not even that it did not run.
+            raise AttemptFailed(
+                Reason.SPOILT_ANSWER, "the answer has no request id", True
+            )
         state.note_load(metadata.load)
         if metadata.cold_for_s:
             state.note_cold(metadata.cold_for_s)
--- a/packages/gateway/plantainshed_gateway/reach_prober.py
+++ b/packages/gateway/plantainshed_gateway/reach_prober.py
@@ -1,7 +1,8 @@
 """Opens connections to targets to find out whether this VM reaches any of them.
 
-Connections are only opened when requests fail or wait, and are kept for requests once a
-health check has been answered on them.
+Connections are only opened when requests fail or wait. They are not kept for requests
+once a health check was sent on them: it has no request id, so a late copy of its answer
+could not be told from the answer to a request.
 """
 
 from collections.abc import Awaitable, Callable
@@ -113,7 +114,10 @@
         else:
             if await self.health_checks.is_answered(connection, state):
                 self.reach.note_answer(is_first=True)
-                self.connections.keep(state, connection)
+                if connection.send_started:
+                    connection.close()
+                else:
+                    self.connections.keep(state, connection)
                 return True
             connection.close()
         self.log.event(
--- a/tests/gateway/test_target_reach.py
+++ b/tests/gateway/test_target_reach.py
@@ -22,6 +22,7 @@
     reusable = True
     stale = False
     idle_s = 0.0
+    send_started = False
 
     def close(self):
         pass
--- a/tests/platform/target_standin.py
+++ b/tests/platform/target_standin.py
@@ -49,6 +49,7 @@
         Faults of the next answers, in order: ``unsigned`` (no seal), ``encoded``,
         ``truncated``, ``reset``, ``extra`` (another request's answer first),
         ``long extra`` (the same, of 100 KB),
+        ``unnamed rejection`` (first a rejection without a request id),
         ``after`` (bytes after the end), ``fails`` (500), ``garbage``, ``unframed``
         (no length, ends when the connection closes), ``unframed reset`` (the same,
         but reset halfway), ``cut`` (the body ends early). An empty string means no
@@ -156,6 +157,9 @@
             head = "HTTP/1.1 200 OK\r\nRequest-Id: another\r\nServer-Seal: s\r\n"
             head += f"Content-Length: {len(body)}\r\n\r\n"
             await stream.send_all((head + body).encode())
+        if fault == "unnamed rejection":
+            rejection = b"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n"
+            await stream.send_all(rejection + b"Content-Length: 0\r\n\r\n")
         if fault == "encoded":
             seal.append(("Content-Encoding", "gzip"))
         if fault == "unsigned":
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -1,4 +1,5 @@
 import contextlib
+import math
 import unittest
 from functools import partial
 
@@ -153,6 +154,28 @@
             status, _, body = await system.ask("/book/1", "POST")
             self.assertEqual((status, body), (200, b"the target's bytes"))
 
+    @on_real_clock
+    async def test_rejection_without_a_request_id_is_not_trusted(self):
+        """Guards against second runs and false 'not run' after a late rejection."""
+        async with running_system(2) as system:
+            for target in system.targets:
+                target.response_faults = ["unnamed rejection"]
+            status, headers, _ = await system.ask("/book/1", "POST")
+            self.assertEqual(status, 502)
+            self.assertNotIn("retry-after", headers)
+            self.assertEqual(sum(len(target.runs) for target in system.targets), 1)
+
+    @on_real_clock
+    async def test_connection_of_a_health_check_is_not_reused(self):
+        """Guards against late copies of health checks' answers before others."""
+        async with running_system(1) as system:
+            gateway = system.gateway
+            (state,) = gateway.registry.states.values()
+            gateway.connections.close_idle(set())
+            self.assertFalse(await gateway.reach_prober.confirm_cut(math.inf))
+            self.assertEqual(system.targets[0].health_checks, 1)
+            self.assertFalse(gateway.connections.has_idle(state))
+
     @on_real_clock
     async def test_bytes_after_an_answer_reach_no_caller(self):
         async with running_system(1) as system:
