--- a/packages/http/plantainshed_http/client.py
+++ b/packages/http/plantainshed_http/client.py
@@ -63,8 +63,10 @@
         try:
             with trio.fail_after(timeout_s):
                 stream = await open_tcp_stream(host.strip("[]"), int(port))
-        except (OSError, trio.TooSlowError) as error:
-            raise ConnectFailed(f"{address}: {str(error) or 'timed out'}") from error
+        except (OSError, ValueError, OverflowError, trio.TooSlowError) as error:
+            # An address that is not valid raises ValueError or OverflowError.
+            message = f"{address!r}: {str(error) or 'timed out'}"
+            raise ConnectFailed(message) from error
         enable_keepalive(stream)
         return cls(stream, address)
 
--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -1,9 +1,9 @@
-"""Tests that the client rejects invalid requests without sending them."""
+"""Tests that the client rejects invalid requests and addresses."""
 
 import unittest
 
-from plantainshed_http.client import connected
-from plantainshed_http.errors import UnsendableRequest
+from plantainshed_http.client import ClientConnection, connected
+from plantainshed_http.errors import ConnectFailed, UnsendableRequest
 from tests.http_support import serving
 from tests.support import on_real_clock
 
@@ -35,3 +35,13 @@
             head, body = await client.request("GET", "/last")
             self.assertEqual((head.status, body), (200, b"whole"))
         self.assertEqual(seen, ["/last"])
+
+
+class TestInvalidAddresses(unittest.TestCase):
+    @on_real_clock
+    async def test_connection_fails(self):
+        """Guards against another error, which would end the process (Fault)."""
+        hosts = ("\udcff\udcff", "\x00", "a" * 80 + ".example", "")
+        for address in (*(f"{host}:80" for host in hosts), "127.0.0.1:65536", "x", ""):
+            with self.subTest(address), self.assertRaises(ConnectFailed):
+                await ClientConnection.open(address, 0.5)
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -575,6 +575,32 @@
             self.assertEqual(list(system.gateway.registry.states), ["i-0"])
             self.assertEqual((await system.ask())[0], 200)
 
+    @on_real_clock
+    async def test_entry_with_an_invalid_address_does_not_end_the_process(self):
+        """Guards against one entry that ends all VMs whenever they start (Fault)."""
+        addresses = [
+            "\ufffd\ufffd\ufffd\ufffd:80",
+            "target.example:80",
+            "127.0.0.1:65536",
+            "127.0.0.1:\u00b2",
+            "127.0.0.1",
+            "x" * 80 + ".example:80",
+        ]
+        store, target = StoreStandin(), TargetStandin("i-0")
+        for number, address in enumerate(addresses):
+            fields = entry(target, addr=address, zone="ven-a", service="unknown")
+            store.put("servers", f"bad-{number}", fields)
+        store.put("servers", "bad\nname", entry(target, addr="127.0.0.1:80"))
+        store.put("config", "main", configuration())
+        async with running_store(store) as store_address, running_target(target):
+            store.put("servers", "i-0", entry(target))
+            async with running_gateway(store, [target], store_address) as system:
+                lines = system.lines("object not usable")
+                self.assertEqual(len(lines), len(addresses) + 1)
+                await trio.sleep(0.3)
+                self.assertEqual(list(system.gateway.registry.states), ["i-0"])
+                self.assertEqual((await system.ask())[0], 200)
+
     @on_real_clock
     async def test_draining_and_evacuated_targets_get_no_requests(self):
         async with running_system(2) as system:
