--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -1,6 +1,7 @@
 """A small stand-in for the platform's store that follows its published protocol."""
 
 import contextlib
+import json
 
 import orjson
 import trio
@@ -93,7 +94,7 @@
         status, answer = await self._answer(exchange, kind, name, parameters, body)
         if self.drops_write_answers and exchange.request.method != "GET":
             await trio.sleep_forever()
-        await exchange.reply(status, [], orjson.dumps(answer))
+        await exchange.reply(status, [], _encode(answer))
 
     async def _answer(self, exchange, kind, name, parameters, body):
         method = exchange.request.method
@@ -144,6 +145,14 @@
         ]
 
 
+def _encode(answer) -> bytes:
+    try:
+        return orjson.dumps(answer)
+    except TypeError:
+        # Text that is not valid is sent with lone surrogates.
+        return json.dumps(answer).encode()
+
+
 @contextlib.asynccontextmanager
 async def running_store(store: StoreStandin):
     """Serve the stand-in on loopback; yield its address."""
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -601,6 +601,24 @@
                 self.assertEqual(list(system.gateway.registry.states), ["i-0"])
                 self.assertEqual((await system.ask())[0], 200)
 
+    @on_real_clock
+    async def test_target_leaves_after_an_entry_that_is_no_text(self):
+        """Guards against an entry that hides all later changes of targets (DRAIN)."""
+        async with running_system(2) as system:
+            system.store.put("servers", "odd", {"service": "\udcff"})
+            system.store.put("servers", "odd\udcfe", {"service": "calendario"})
+            target = system.targets[0]
+            system.store.put("servers", "i-0", entry(target, state="draining"))
+            leaving = system.gateway.registry.states["i-0"]
+            await system.until(lambda: leaving.entry.is_draining)
+            # A VM that starts reads all entries again.
+            store_address = system.gateway.context.settings.store
+            async with running_gateway(
+                system.store, system.targets, store_address
+            ) as other:
+                self.assertEqual((await other.ask())[0], 200)
+                self.assertEqual(len(other.lines("object not usable")), 2)
+
     @on_real_clock
     async def test_draining_and_evacuated_targets_get_no_requests(self):
         async with running_system(2) as system:
