Block requests that crash the same targets again

Cause: crashes were counted by the target's name, so a target that restarts under its name could crash only once, and two targets never reach the three crashes that block. Besides, a block ended 30 s after each VM had learned of the crashes, also while the request kept coming.

Change: a crash is identified by the run of the target (name and start). Checks of crashes left serving for a module of their own.

--- a/packages/gateway/plantainshed_gateway/gateway.py
+++ b/packages/gateway/plantainshed_gateway/gateway.py
@@ -10,6 +10,7 @@
 from .admission import Admission
 from .connections import TargetConnections
 from .context import Context
+from .crash_checks import CrashChecks
 from .datagrams import Message
 from .distance_prober import DistanceProber
 from .errors import BadRequest
@@ -166,7 +167,13 @@
             self.forwarder,
             self.retries,
             self.members,
-            self.poison,
+            CrashChecks(
+                self.poison,
+                self.connections,
+                self.reach_prober,
+                self.members,
+                context.log,
+            ),
             self.reach_prober,
             Relaying(
                 settings.vm,
--- a/packages/gateway/plantainshed_gateway/ports.py
+++ b/packages/gateway/plantainshed_gateway/ports.py
@@ -94,6 +94,11 @@
     cold_for_s: float
     started_ms: int | None = None
 
+    @property
+    def run(self) -> str:
+        """Identifies this run of the target, also among runs of the same name."""
+        return f"{self.instance}/{self.started_ms or 0}"
+
 
 @frozen
 class CallerRequest:
