Apply the speakers' leases also while a VM watches some collections

Cause: WatchLease polled only while all collections were watched by others. A VM that has stood in for a speaker keeps its own watches of quiet collections for up to 20 s, and meanwhile the lease applied to none. The time without calls then also looked like an outage of the store.

Change: the lease applies to the collections that others watch.

--- a/packages/gateway/plantainshed_gateway/watch_lease.py
+++ b/packages/gateway/plantainshed_gateway/watch_lease.py
@@ -85,12 +85,17 @@
     def due_in_s(self) -> float:
         """Return the time until this VM has to poll the store.
 
-        It is infinite while this VM watches the store itself.
+        It is infinite while this VM watches all collections itself. A VM that has stood
+        in for a speaker may still watch some of them, and rely on others for the rest.
         """
-        followers = self.poller.followers.values()
-        if not all(follower.is_watch_delegated for follower in followers):
+        delegated = [
+            follower.replica
+            for follower in self.poller.followers.values()
+            if follower.is_watch_delegated
+        ]
+        if not delegated:
             return inf
-        current_at = min(follower.replica.current_at for follower in followers)
+        current_at = min(replica.current_at for replica in delegated)
         lease_ends_at = LEASE_S + max(current_at, self.speakers.heard_at())
         max_age_s = self.poll_interval_s() + COPY_AGE_MARGIN_S
         due_at = min(lease_ends_at, current_at + max_age_s)
--- a/tests/gateway/test_watch_lease.py
+++ b/tests/gateway/test_watch_lease.py
@@ -19,12 +19,17 @@
 DOMAINS = ({"a-1": 4}, {"a-1": 5, "b-1": 2}, {"a-1": 6, "a-2": 6, "b-1": 6, "b-2": 6})
 
 
-async def play(domains, rng, fail) -> float:
-    """Return the time until all live VMs know a change just after a failure."""
+async def play(domains, rng, fail, prepare=None) -> float:
+    """Return the time until all live VMs know a change just after a failure.
+
+    `prepare` is awaited with the fleet before.
+    """
     async with trio.open_nursery() as nursery:
         workspace = Workspace("comune", None, 20.0, 20.0)
         fleet = FollowingFleet(domains, workspace, nursery, 0.012)
         await trio.sleep(8 + rng.random() * 2)
+        if prepare is not None:
+            await prepare(fleet)
         speakers = {f"10.0.0.{ip}" for ip in range(1, 1 + domains["a-1"])}
         speakers &= {vm.ip for vm in fleet.all() if vm.speakers.is_speaker}
         fail(fleet, sorted(speakers), rng)
@@ -65,11 +70,24 @@
         fleet.vms[ip].link.mode = "hanging"
 
 
+async def reject_all_for_a_while(fleet):
+    """Have all VMs watch the store themselves, and then leave it to the speakers.
+
+    Only the targets change since, so the own watches of other collections go on.
+    """
+    for mode in ("rejecting", "normal"):
+        for vm in fleet.all():
+            vm.link.mode = mode
+        await trio.sleep(4.0)
+    fleet.store.put(Collection.TARGETS, "i-1")
+    await trio.sleep(4.0)
+
+
 class TestWatchLease(unittest.TestCase):
-    async def worst(self, fail, seeds=4, domains=DOMAINS) -> float:
+    async def worst(self, fail, seeds=4, domains=DOMAINS, prepare=None) -> float:
         return max(
             [
-                await play(sizes, random.Random(seed), fail)
+                await play(sizes, random.Random(seed), fail, prepare)
                 for sizes in domains
                 for seed in range(seeds)
             ]
@@ -99,3 +117,9 @@
     async def test_half_of_the_other_vms_ends_with_the_speakers(self):
         """Guards against waiting for a successor that ended, too."""
         self.assertLess(await self.worst(end_many), KNOWN_WITHIN_S)
+
+    @on_mock_clock
+    async def test_own_watches_of_quiet_collections_do_not_hide_changes_of_others(self):
+        """Guards against leases that do not apply while a VM watches a part itself."""
+        worst_s = await self.worst(end_speakers, prepare=reject_all_for_a_while)
+        self.assertLess(worst_s, KNOWN_AFTER_ENDS_S)
