Discard tokens of a higher limit when a limit is lowered

Cause: tokens of the old limit stayed in the bucket above its capacity, and drained only at the new rate times the share of the other VMs, which is slowest where the requests arrive.

Change: Bucket.update_limits cuts the level to the capacity when a limit is lowered. Excess that is left when callers move still drains.

The new test failed before with 151 of 80.5.

--- a/packages/gateway/plantainshed_gateway/quota.py
+++ b/packages/gateway/plantainshed_gateway/quota.py
@@ -213,6 +213,18 @@
         least += reserve / max(0.01, self.rate * growth_s)
         self.share = min(share, max(self.share, least))
 
+    def update_limits(self, rate: float, max_tokens: float, reserve: float):
+        """Set the limits of the quota.
+
+        Tokens of a higher limit do not drain, because that takes as long as the new
+        limit's refill, which is longest where the requests arrive.
+        """
+        if max_tokens < self.max_tokens:
+            self.refill()
+            self.max_tokens = max_tokens
+            self.level = min(self.level, self.capacity)
+        self.rate, self.max_tokens, self.reserve = rate, max_tokens, reserve
+
     def update_capacity(self, even: float, even_level: float):
         """Set this bucket's fraction of `max_tokens`.
 
@@ -345,7 +357,7 @@
             # would seem to be due to this VM.
             bucket.due_shares.append((trio.current_time(), share))
             self.buckets[workspace.name] = bucket
-        bucket.rate, bucket.max_tokens, bucket.reserve = rate, max_tokens, reserve
+        bucket.update_limits(rate, max_tokens, reserve)
         return bucket
 
     def _first_share(self) -> float:
--- a/tests/gateway/test_quota.py
+++ b/tests/gateway/test_quota.py
@@ -31,12 +31,17 @@
         self.gossip = GossipFleet(sizes)
         self.vms = list(self.gossip.vms.values())
         self.quotas = [vm.quotas for vm in self.vms]
-        for quotas in self.quotas:
-            quotas.workspaces = {WORKSPACE.name: WORKSPACE}
+        self.apply(WORKSPACE)
         self.members = [vm.members for vm in self.vms]
         self.admitted: list[float] = []
         self.requested: list[float] = []
 
+    def apply(self, workspace: Workspace):
+        """Bring a workspace's limit into force on all VMs."""
+        self.workspace = workspace
+        for quotas in self.quotas:
+            quotas.workspaces = {workspace.name: workspace}
+
     def exchange_heartbeats(self, groups):
         """Exchange heartbeats and summaries within groups of connected VMs."""
         group_of = {
@@ -47,7 +52,7 @@
 
     def send_request(self, vm: int):
         self.requested.append(trio.current_time())
-        if self.quotas[vm].admit(WORKSPACE) is None or self.borrows_token(vm):
+        if self.quotas[vm].admit(self.workspace) is None or self.borrows_token(vm):
             self.admitted.append(trio.current_time())
 
     def borrows_token(self, vm: int) -> bool:
@@ -196,6 +201,29 @@
         self.assertLessEqual(admitted, 10 * 1.2 + (6 * 0.1 + 20) * 0.7 + 1)
 
 
+class TestLoweredLimit(unittest.TestCase):
+    @on_mock_clock
+    async def test_tokens_of_the_higher_limit_are_not_used_later(self):
+        """Guards against a lowered limit that binds too late (QUOTA).
+
+        Its window of 5 s begins 2 s after the change; all requests arrive at one VM.
+        """
+        lowered = Workspace("comune", rate_per_s=10.0, burst=5.0)
+        allowed = (10.0 * 5 + 5.0) * 1.1 + 20
+        for count in (3, 6, 12):
+            fleet = Fleet(count, domains=3)
+            for rate_per_s in (500.0, 70.0):
+                fleet.apply(Workspace("comune", rate_per_s=rate_per_s, burst=100.0))
+                await fleet.play(10, 2, lambda rng: 0)
+                fleet.apply(lowered)
+                await fleet.play(8, 2, lambda rng: 0)
+                fleet.admitted.clear()
+                await fleet.play(12, 60, lambda rng: 0)
+                self.assertLessEqual(fleet.peak_in_window(), allowed)
+                # The lower limit is also usable.
+                self.assertGreater(len(fleet.admitted), 60)
+
+
 class TestStart(unittest.TestCase):
     """All VMs start at once and do not know each other yet.
 
