Check later after a failure just after a check of the targets

Cause: a VM checks at most every 0.5 s whether it reaches the targets. A failure within that time was forgotten, so a VM with few requests found out only with the next failing request that it is cut off.

Change: the failure is remembered, and checked once the interval is over, unless a target has answered on a new connection since.

Evidence: test_failure_just_after_a_check failed before.

--- a/packages/gateway/plantainshed_gateway/target_reach.py
+++ b/packages/gateway/plantainshed_gateway/target_reach.py
@@ -56,6 +56,8 @@
         When a target last answered, or, if it was later, when requests began to wait.
     checked_at : float
         When the last check ended.
+    has_failed_since_check : bool
+        Whether a connection failed since, too soon for another check.
     waiting : int
         Number of requests that wait for an answer.
     repeatable : set of trio.CancelScope
@@ -74,6 +76,7 @@
     random: Random = field(factory=Random)
     heard_at: float = float("-inf")
     checked_at: float = float("-inf")
+    has_failed_since_check: bool = False
     waiting: int = 0
     repeatable: set[trio.CancelScope] = field(factory=set)
 
@@ -116,6 +119,7 @@
             self._clear_suspicion()
 
     def _clear_suspicion(self):
+        self.has_failed_since_check = False
         # Tasks wait for an event that is not set, so it must not be replaced.
         if self.suspected.is_set():
             self.suspected = trio.Event()
@@ -124,15 +128,19 @@
         """Record that a connection to a target failed or broke."""
         if trio.current_time() - self.checked_at >= CHECK_INTERVAL_S:
             self.suspected.set()
+        else:
+            self.has_failed_since_check = True
 
     def check_silence(self):
-        """Suspect a cut if requests wait and no target has answered for a while."""
-        if self.waiting and trio.current_time() - self.heard_at >= SILENCE_S:
+        """Suspect a cut if no target answers, or one failed just after a check."""
+        is_silent = trio.current_time() - self.heard_at >= SILENCE_S
+        if self.has_failed_since_check or (self.waiting and is_silent):
             self.note_failed()
 
     def end_check(self, is_cut_off: bool):
         """Record the result of a check."""
         self.checked_at = trio.current_time()
+        self.has_failed_since_check = False
         if is_cut_off:
             # Wakes the task that looks for the end of the cut.
             self.suspected.set()
--- a/tests/gateway/test_target_reach.py
+++ b/tests/gateway/test_target_reach.py
@@ -134,6 +134,18 @@
         await trio.sleep(0.1)
         self.assertTrue(links.reach.is_cut_off)
 
+    @with_links
+    async def test_failure_just_after_a_check(self, links):
+        """Guards against a failure that is forgotten if no other request follows."""
+        await links.prober.confirm_cut(trio.current_time())
+        links.cut()
+        await trio.sleep(0.1)
+        await links.fail_one()
+        for _ in range(4):
+            await trio.sleep(0.25)
+            links.reach.check_silence()
+        self.assertTrue(links.reach.is_cut_off)
+
     @with_links
     async def test_kept_connections_that_go_silent(self, links):
         """Guards against a cut that is not noticed while no connection is opened."""
