Ask another VM if the one that forwards a request has no room

The choice goes by requests in flight, of which refused ones leave none, and such a refusal was final.

Change: a VM that refused for want of room comes after others for 0.5 s, and a second VM is asked.

The new test failed before.

--- a/packages/gateway/plantainshed_gateway/relay_choice.py
+++ b/packages/gateway/plantainshed_gateway/relay_choice.py
@@ -19,6 +19,9 @@
 FAR_LOAD_RATIO = 3.0
 # How long a VM is not selected after it refused to forward or could not be reached.
 AVOID_S = 1.0
+# How long a VM without room at the targets is selected only after others. VMs hold
+# different parts of the targets' limits, so another one may have room.
+WITHOUT_ROOM_S = 0.5
 
 
 @frozen
@@ -48,12 +51,15 @@
         Number of this VM's requests that each VM is forwarding.
     avoided_until : dict of str to float
         When VMs that failed may be selected again.
+    without_room_until : dict of str to float
+        Until when VMs that refused a request for want of room come last.
     """
 
     def __init__(self, members: Members):
         self.members = members
         self.in_flight: Counter[str] = Counter()
         self.avoided_until: dict[str, float] = {}
+        self.without_room_until: dict[str, float] = {}
         self.random = random.Random()
 
     def choose(
@@ -83,6 +89,10 @@
         """Do not select a VM for a while."""
         self.avoided_until[vm] = trio.current_time() + AVOID_S
 
+    def note_no_room(self, vm: str):
+        """Prefer other VMs for a while."""
+        self.without_room_until[vm] = trio.current_time() + WITHOUT_ROOM_S
+
     def _can_forward(
         self, name: str, member: Member, home_regions: frozenset[str]
     ) -> bool:
@@ -95,10 +105,11 @@
             and self.avoided_until.get(name, 0.0) <= trio.current_time()
         )
 
-    def _rank(self, name: str, member: Member) -> tuple[bool, float]:
+    def _rank(self, name: str, member: Member) -> tuple[bool, bool, float]:
         # A VM that leaves still accepts requests for a while.
         is_leaving = member.heartbeat.state is VmState.LEAVING
-        return is_leaving, self._load(name, member)
+        is_full = self.without_room_until.get(name, 0.0) > trio.current_time()
+        return is_leaving, is_full, self._load(name, member)
 
     def _load(self, name: str, member: Member) -> float:
         load = (self.in_flight[name] + 1) / max(member.heartbeat.weight, 0.001)
--- a/packages/gateway/plantainshed_gateway/relaying.py
+++ b/packages/gateway/plantainshed_gateway/relaying.py
@@ -40,6 +40,9 @@
 # Maximum number of VMs that are asked to forward one request. More than one is needed
 # until a cut of many VMs is known everywhere.
 MAX_RELAYS = 4
+# Maximum number of VMs without room at the targets that are asked for one request. All
+# VMs may be without room, and asking costs them time.
+MAX_RELAYS_WITHOUT_ROOM = 2
 # Time allowed for a busy VM to accept a connection, in addition to the round trips.
 ACCEPT_TIMEOUT_S = 0.2
 # Statuses of refusals of requests that have not run and never will.
@@ -127,6 +130,7 @@
             Reason.CUT_OFF, "no VM is known that reaches the targets", False, True
         )
         excluded: set[str] = set()
+        without_room = 0
         for _ in range(MAX_RELAYS):
             relay = self.choice.choose(call.home_regions, excluded)
             if relay is None:
@@ -140,13 +144,21 @@
             except AttemptFailed as error:
                 failure = error
             self._note_failure(call, relay, failure)
-            if failure.may_have_run or failure.reason not in REASONS_TO_ASK_ANOTHER_VM:
+            if failure.may_have_run:
+                break
+            if failure.reason is Reason.NO_ROOM:
+                without_room += 1
+                if without_room == MAX_RELAYS_WITHOUT_ROOM:
+                    break
+            elif failure.reason not in REASONS_TO_ASK_ANOTHER_VM:
                 break
         return failure
 
     def _note_failure(self, call: Call, relay: RelayVm, failure: AttemptFailed):
         if failure.reason in REASONS_TO_AVOID_VM:
             self.choice.avoid(relay.vm)
+        elif failure.reason is Reason.NO_ROOM:
+            self.choice.note_no_room(relay.vm)
         self.log.event(
             "not answered through another vm",
             request_id=call.request.request_id,
--- a/tests/platform/test_cut_from_targets.py
+++ b/tests/platform/test_cut_from_targets.py
@@ -182,6 +182,22 @@
             self.assertEqual(target.runs, [])
             self.assertGreaterEqual(bucket.level, before)
 
+    @on_real_clock
+    async def test_vm_without_room_does_not_decide_for_all(self):
+        """Guards against refusals because one VM's part of a limit is used up."""
+
+        async def find_no_target(call, configuration, excluded):
+            return None
+
+        async with running_fleet(3, make_targets()) as fleet:
+            vm, full, _ = fleet.vms
+            await cut_off(fleet, vm)
+            full.gateway.serving._find_target = find_no_target
+            statuses = [(await book(vm))[0] for _ in range(10)]
+            self.assertEqual(statuses, [200] * 10)
+            # It is asked first only while it may have room again.
+            self.assertLessEqual(len(full.lines("refused")), 5)
+
     @on_real_clock
     async def test_forwarding_takes_no_second_token(self):
         """Guards against requests that are counted twice against their quota."""
